--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,16 @@
+import js from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['target/', 'node_modules/', 'journal/'] },
+  js.configs.recommended,
+  ...tseslint.configs.strict,
+  {
+    rules: {
+      '@typescript-eslint/no-non-null-assertion': 'off',
+      '@typescript-eslint/no-invalid-void-type': 'off',
+      eqeqeq: 'error',
+    },
+  },
+  { files: ['deploy/*.js'], languageOptions: { globals: { process: 'readonly', console: 'readonly' } } },
+);
--- /dev/null
+++ b/src/core/context.ts
@@ -0,0 +1,122 @@
+/** What every part of the core shares within one node: the present time, pending calls, timers. */
+import type {
+  CloudOp,
+  CloudReply,
+  CoreEffect,
+  LogFields,
+  MachineType,
+  Micros,
+  Order,
+  OrdersReply,
+  Settings,
+  StateOp,
+  StateReply,
+  Urgency,
+} from './model.js';
+
+interface Timer {
+  readonly at: Micros;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+export class Context {
+  now: Micros = 0;
+  /** Time of day minus steady time, from the newest input that carried both. */
+  wallOffset: Micros = 0;
+  types: ReadonlyMap<string, MachineType> = new Map();
+  out: CoreEffect[] = [];
+
+  private nextCall = 1;
+  private timerOrder = 0;
+  private timers: Timer[] = [];
+  private readonly stateCalls = new Map<number, (r: StateReply) => void>();
+  private readonly cloudCalls = new Map<number, (r: CloudReply) => void>();
+  private readonly orderCalls = new Map<number, (r: OrdersReply) => void>();
+
+  /** `stopwatch` only bounds the time spent on a search; decisions never read it otherwise. */
+  constructor(
+    readonly settings: Settings,
+    readonly stopwatch: () => Micros,
+  ) {}
+
+  get wallNow(): Micros {
+    return this.now + this.wallOffset;
+  }
+
+  emit(e: CoreEffect): void {
+    this.out.push(e);
+  }
+
+  info(event: string, fields: LogFields = {}): void {
+    this.out.push({ kind: 'log', level: 'info', event, fields });
+  }
+
+  debug(event: string, fields: LogFields = {}): void {
+    this.out.push({ kind: 'log', level: 'debug', event, fields });
+  }
+
+  error(event: string, fields: LogFields = {}): void {
+    this.out.push({ kind: 'log', level: 'error', event, fields });
+  }
+
+  state(op: StateOp, urgency: Urgency, then: (r: StateReply) => void): void {
+    const call = this.nextCall++;
+    this.stateCalls.set(call, then);
+    this.out.push({ kind: 'state', call, op, urgency });
+  }
+
+  cloud(op: CloudOp, urgency: Urgency, then: (r: CloudReply) => void): void {
+    const call = this.nextCall++;
+    this.cloudCalls.set(call, then);
+    this.out.push({ kind: 'cloud', call, op, urgency });
+  }
+
+  orders(
+    address: string,
+    token: number,
+    session: number,
+    orders: readonly Order[],
+    then: (r: OrdersReply) => void,
+  ): void {
+    const call = this.nextCall++;
+    this.orderCalls.set(call, then);
+    this.out.push({ kind: 'orders', call, address, token, session, orders });
+  }
+
+  after(delay: Micros, run: () => void): void {
+    this.timers.push({ at: this.now + delay, order: this.timerOrder++, run });
+  }
+
+  stateReplied(call: number, r: StateReply): void {
+    const then = this.stateCalls.get(call);
+    this.stateCalls.delete(call);
+    then?.(r);
+  }
+
+  cloudReplied(call: number, r: CloudReply): void {
+    const then = this.cloudCalls.get(call);
+    this.cloudCalls.delete(call);
+    then?.(r);
+  }
+
+  ordersReplied(call: number, r: OrdersReply): void {
+    const then = this.orderCalls.get(call);
+    this.orderCalls.delete(call);
+    then?.(r);
+  }
+
+  runDueTimers(): void {
+    const due = this.timers.filter((t) => t.at <= this.now);
+    if (due.length === 0) return;
+    this.timers = this.timers.filter((t) => t.at > this.now);
+    due.sort((a, b) => a.at - b.at || a.order - b.order);
+    for (const t of due) t.run();
+  }
+
+  nextWake(): Micros | null {
+    let at: Micros | null = null;
+    for (const t of this.timers) if (at === null || t.at < at) at = t.at;
+    return at;
+  }
+}
--- /dev/null
+++ b/src/core/core.ts
@@ -0,0 +1,127 @@
+/** One node as a state machine: `step` takes an input at a time and returns what to do. */
+import { typesFromStored } from '../protocol/cloud.js';
+import { Context } from './context.js';
+import { Desk } from './desk.js';
+import { TYPES } from './keys.js';
+import { Leadership } from './leadership.js';
+import type { CoreEffect, Input, MachineType, Micros, Report, Settings, WorkerAnswer } from './model.js';
+import { MILLI, SECOND } from './model.js';
+import { Scheduler } from './scheduler.js';
+
+export class Core {
+  private readonly ctx: Context;
+  private readonly desk: Desk;
+  private readonly leadership: Leadership;
+  private scheduler: Scheduler | null = null;
+  private savedTypes = false;
+
+  constructor(settings: Settings, stopwatch: () => Micros) {
+    this.ctx = new Context(settings, stopwatch);
+    this.desk = new Desk(this.ctx);
+    this.leadership = new Leadership(
+      this.ctx,
+      (office) => {
+        this.scheduler = new Scheduler(this.ctx, office, this.leadership, this.desk);
+        this.scheduler.start();
+        this.saveTypes();
+      },
+      () => {
+        this.scheduler?.stop();
+        this.scheduler = null;
+      },
+    );
+  }
+
+  step(now: Micros, input: Input): CoreEffect[] {
+    // Time never runs backwards inside, whatever the order in which inputs were stamped.
+    this.ctx.now = Math.max(this.ctx.now, now);
+    this.ctx.out = [];
+    this.take(input);
+    this.ctx.runDueTimers();
+    const at = this.ctx.nextWake();
+    if (at !== null) this.ctx.emit({ kind: 'wake', at });
+    return this.ctx.out;
+  }
+
+  private take(input: Input): void {
+    switch (input.kind) {
+      case 'start':
+        this.ctx.wallOffset = input.wallUs - this.ctx.now;
+        this.leadership.start();
+        this.learnTypes(0);
+        return;
+      case 'timer':
+        return;
+      case 'state':
+        this.ctx.stateReplied(input.call, input.reply);
+        return;
+      case 'cloud':
+        this.ctx.cloudReplied(input.call, input.reply);
+        return;
+      case 'orders':
+        this.ctx.ordersReplied(input.call, input.reply);
+        return;
+      case 'user':
+        this.ctx.wallOffset = input.wallUs - this.ctx.now;
+        this.desk.handle(input.request, input.body);
+        return;
+      case 'report':
+        this.ctx.emit({
+          kind: 'answerWorker',
+          request: input.request,
+          answer: this.answerReport(input.report),
+        });
+        return;
+      case 'peer':
+        this.desk.noteProgress(input.message);
+        return;
+    }
+  }
+
+  private answerReport(r: Report): WorkerAnswer {
+    if (this.scheduler !== null && this.leadership.hasRight()) return this.scheduler.onReport(r);
+    if (this.scheduler !== null) {
+      this.scheduler.heard(r);
+      return { kind: 'unavailable' };
+    }
+    const { leader } = this.leadership;
+    if (leader === null || leader === this.ctx.settings.member) return { kind: 'unavailable' };
+    return { kind: 'redirect', leader };
+  }
+
+  /** From the cloud, or, while it is out, from what a leader has stored. */
+  private learnTypes(tries: number): void {
+    if (this.ctx.types.size > 0) return;
+    const again = (): void => {
+      this.ctx.after(Math.min(2 * SECOND, (1 + tries) * 400 * MILLI), () => {
+        this.learnTypes(tries + 1);
+      });
+    };
+    this.ctx.state({ kind: 'get', key: TYPES }, 1, (s) => {
+      const stored = s.kind === 'item' ? typesFromStored(s.item.value) : null;
+      if (stored !== null && stored.length > 0) {
+        this.haveTypes(stored);
+        this.savedTypes = true;
+        return;
+      }
+      this.ctx.cloud({ kind: 'types' }, 0, (r) => {
+        if (r.kind === 'types' && r.types.length > 0) {
+          this.haveTypes(r.types);
+          this.saveTypes();
+        } else again();
+      });
+    });
+  }
+
+  private haveTypes(types: readonly MachineType[]): void {
+    this.ctx.types = new Map(types.map((t) => [t.name, t]));
+    this.ctx.info('types.known', { types: types.map((t) => t.name) });
+    this.scheduler?.changed();
+  }
+
+  private saveTypes(): void {
+    if (this.scheduler === null || this.savedTypes || this.ctx.types.size === 0) return;
+    this.savedTypes = true;
+    this.scheduler.saveTypes([...this.ctx.types.values()]);
+  }
+}
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,292 @@
+/** Renting and returning machines. What to rent comes from the same play-out that places tasks. */
+import type { Context } from './context.js';
+import type { Machine } from './cluster.js';
+import type { CloudReply, JobSpec, ListedMachine, Micros } from './model.js';
+import { SECOND } from './model.js';
+import type { Decision, Group, Rentable } from './search.js';
+import { typeAllowed } from './room.js';
+
+interface Offer {
+  refusedUntil: Micros;
+  refusals: number;
+  inFlight: boolean;
+}
+
+/** What the fleet needs of the scheduler. */
+export interface FleetHost {
+  readonly term: number;
+  machines(): Iterable<Machine>;
+  find(name: string): Machine | undefined;
+  rented(name: string, type: string, zone: string, spot: boolean, since: Micros): void;
+  listed(m: ListedMachine, standing: boolean): void;
+  gone(m: Machine, reason: string): void;
+  retire(m: Machine, reason: string): void;
+  changed(): void;
+  active(): boolean;
+}
+
+const MAX_RENT = 50;
+const MAX_DELETE = 100;
+const PAGE = 500;
+/** Quantile of the normal distribution that headroom is sized by; about nine arrivals in ten. */
+const HEADROOM_Z = 1.3;
+/** Window over which arrivals are counted. */
+const WINDOW: Micros = 150 * SECOND;
+
+const offerKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot ? 's' : 'o'}`;
+
+export class Fleet {
+  private readonly offers = new Map<string, Offer>();
+  private readonly arrivals = new Map<
+    string,
+    { at: Micros[]; spec: JobSpec; tasks: number; since: Micros }
+  >();
+  private bookings = 0;
+  private firstList = true;
+  private deletes: string[] = [];
+  private deleting = false;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly host: FleetHost,
+  ) {}
+
+  start(): void {
+    this.poll();
+    this.refreshTypes();
+  }
+
+  noteArrival(spec: JobSpec): void {
+    const now = this.ctx.now;
+    let a = this.arrivals.get(spec.class);
+    if (a === undefined) this.arrivals.set(spec.class, (a = { at: [], spec, tasks: spec.tasks, since: now }));
+    a.at.push(now);
+    while (a.at.length > 200 || (a.at[0] !== undefined && a.at[0] < now - WINDOW)) a.at.shift();
+    a.tasks = 0.8 * a.tasks + 0.2 * spec.tasks;
+    if (spec.tasks >= a.spec.tasks) a.spec = spec;
+  }
+
+  /** What can be rented now, by type, zone and kind. */
+  rentable(): Rentable[] {
+    const out: Rentable[] = [];
+    for (const type of this.ctx.types.values())
+      for (const zone of type.zones)
+        for (const spot of [false, true]) {
+          const o = this.offers.get(offerKey(type.name, zone, spot));
+          if (o !== undefined && (o.refusedUntil > this.ctx.now || o.inFlight)) continue;
+          out.push({ type, zone, spot, limit: MAX_RENT });
+        }
+    return out;
+  }
+
+  /**
+   * Room kept for arrivals of classes that must start sooner than a machine boots: the spread of the
+   * difference between arrivals and completions while one boots.
+   */
+  headroom(): Group[] {
+    const out: Group[] = [];
+    for (const [cls, a] of this.arrivals) {
+      let within: Micros | null = null;
+      for (const o of this.ctx.settings.objectives)
+        if (o.kind === 'wait' && o.class === cls && o.withinUs !== null)
+          within = within === null ? o.withinUs : Math.min(within, o.withinUs);
+      if (within === null || a.spec.shape === 'service') continue;
+      let boot: Micros | null = null;
+      for (const t of this.ctx.types.values())
+        if (typeAllowed(a.spec, t)) boot = boot === null ? t.bootUs : Math.min(boot, t.bootUs);
+      if (boot === null || boot <= within) continue;
+      while (a.at[0] !== undefined && a.at[0] < this.ctx.now - WINDOW) a.at.shift();
+      const span = Math.max(30 * SECOND, Math.min(WINDOW, this.ctx.now - a.since));
+      const expected = (a.at.length * boot) / span;
+      const jobs = HEADROOM_Z * Math.sqrt(2 * expected);
+      const count = Math.ceil(jobs * a.tasks);
+      if (count === 0) continue;
+      out.push({
+        spec: { ...a.spec, shape: 'array', tasks: count, sameZone: false, spread: false },
+        count,
+        zones: new Map(),
+        avoid: new Set(),
+        credit: 0,
+        margin: 60 * SECOND,
+        phantom: true,
+      });
+    }
+    return out;
+  }
+
+  /** Rents what the play-out used of machines that are not there. */
+  rentFor(d: Decision): void {
+    for (const [r, count] of d.picture.rented) {
+      if (count <= 0) continue;
+      const key = offerKey(r.type.name, r.zone, r.spot);
+      const offer = this.offers.get(key) ?? { refusedUntil: 0, refusals: 0, inFlight: false };
+      this.offers.set(key, offer);
+      if (offer.inFlight || offer.refusedUntil > this.ctx.now) continue;
+      this.rent(r, Math.min(count, MAX_RENT), offer);
+    }
+  }
+
+  private rent(r: Rentable, count: number, offer: Offer): void {
+    offer.inFlight = true;
+    // The term is held by one process only, so the name is never used again, not even by another node.
+    const request = `r-${this.host.term}-${this.bookings++}`;
+    this.book(request, r, count, offer, this.ctx.now, 0);
+  }
+
+  private book(
+    request: string,
+    r: Rentable,
+    count: number,
+    offer: Offer,
+    since: Micros,
+    tries: number,
+  ): void {
+    this.ctx.info('fleet.rent', { request, type: r.type.name, zone: r.zone, spot: r.spot, count });
+    this.ctx.cloud(
+      { kind: 'rent', request, type: r.type.name, zone: r.zone, spot: r.spot, count },
+      1,
+      (reply: CloudReply) => {
+        if (!this.host.active()) return;
+        if (reply.kind === 'rented') {
+          offer.inFlight = false;
+          offer.refusals = 0;
+          // Fewer than asked for: there are no more for now.
+          if (reply.machines.length < count) this.refuse(offer);
+          for (const m of reply.machines) this.host.rented(m, r.type.name, r.zone, r.spot, since);
+          this.ctx.info('fleet.rented', { request, machines: reply.machines });
+          this.host.changed();
+        } else if (reply.kind === 'noCapacity') {
+          offer.inFlight = false;
+          this.refuse(offer);
+          this.ctx.info('fleet.refused', { request, type: r.type.name, zone: r.zone, spot: r.spot });
+          this.host.changed();
+        } else if (tries < 4) {
+          // The same name again: if the first request was executed, it rents nothing more.
+          this.ctx.after((1 + tries) * SECOND, () => {
+            if (this.host.active()) this.book(request, r, count, offer, since, tries + 1);
+          });
+        } else {
+          offer.inFlight = false;
+          offer.refusedUntil = this.ctx.now + 3 * SECOND;
+        }
+      },
+    );
+  }
+
+  private refuse(offer: Offer): void {
+    offer.refusals = Math.min(offer.refusals + 1, 3);
+    offer.refusedUntil = this.ctx.now + 8 * SECOND * offer.refusals;
+  }
+
+  /** A returned machine leaves room for another at once. */
+  freed(m: Machine): void {
+    const o = this.offers.get(offerKey(m.type, m.zone, m.spot));
+    if (o !== undefined) o.refusedUntil = Math.min(o.refusedUntil, this.ctx.now + 2 * SECOND);
+  }
+
+  /** Deletes a machine that is on record as retiring; everything on it is gone once that is answered. */
+  remove(name: string): void {
+    if (!this.deletes.includes(name)) this.deletes.push(name);
+    this.flushDeletes();
+  }
+
+  private flushDeletes(): void {
+    if (this.deleting || this.deletes.length === 0) return;
+    this.deleting = true;
+    const batch = this.deletes.slice(0, MAX_DELETE);
+    this.ctx.cloud({ kind: 'delete', machines: batch }, 0, (r) => {
+      this.deleting = false;
+      if (!this.host.active()) return;
+      if (r.kind === 'deleted') {
+        this.deletes = this.deletes.filter((n) => !batch.includes(n));
+        for (const n of batch) {
+          const m = this.host.find(n);
+          if (m !== undefined) {
+            this.freed(m);
+            this.host.gone(m, 'deleted');
+          }
+        }
+        this.flushDeletes();
+      } else {
+        this.ctx.after(SECOND, () => {
+          if (this.host.active()) this.flushDeletes();
+        });
+      }
+    });
+  }
+
+  private refreshTypes(): void {
+    this.ctx.after(60 * SECOND, () => {
+      if (!this.host.active()) return;
+      this.ctx.cloud({ kind: 'types' }, 2, (r) => {
+        if (r.kind === 'types' && r.types.length > 0)
+          this.ctx.types = new Map(r.types.map((t) => [t.name, t]));
+      });
+      this.refreshTypes();
+    });
+  }
+
+  private poll(): void {
+    this.listFrom('', [], this.ctx.now);
+  }
+
+  private listFrom(after: string, seen: ListedMachine[], began: Micros): void {
+    this.ctx.cloud({ kind: 'list', after, limit: PAGE }, 2, (r) => {
+      if (!this.host.active()) return;
+      const every = Math.max(4 * SECOND, Math.ceil((6 * SECOND) / Math.max(this.ctx.settings.cloudRps, 0.1)));
+      if (r.kind === 'listed') {
+        seen.push(...r.machines);
+        const last = r.machines.at(-1);
+        if (r.more && last !== undefined) {
+          this.listFrom(last.name, seen, began);
+          return;
+        }
+        this.compare(seen, began);
+      }
+      this.ctx.after(every, () => {
+        if (this.host.active()) this.poll();
+      });
+    });
+  }
+
+  /** Adopts what nobody expected, and learns what is gone from what is not listed any more. */
+  private compare(listed: readonly ListedMachine[], began: Micros): void {
+    const standing = this.firstList && this.host.term === 1;
+    this.firstList = false;
+    const names = new Set<string>();
+    for (const l of listed) {
+      names.add(l.name);
+      this.host.listed(l, standing);
+      const m = this.host.find(l.name);
+      if (m === undefined) continue;
+      m.firstListed ??= this.ctx.now;
+      m.lastListed = this.ctx.now;
+      if (l.state === 'failed') {
+        // A failed machine stopped by itself; it stays listed until it is deleted.
+        this.host.gone(m, 'failed');
+        this.remove(l.name);
+      }
+    }
+    // A list is at most two lags old. It shows every machine that was listed before that and still exists.
+    const lag = this.ctx.settings.listLagUs * 2 + SECOND;
+    for (const m of [...this.host.machines()])
+      if (!names.has(m.name) && m.firstListed !== null && m.firstListed < began - lag)
+        this.host.gone(m, 'unlisted');
+  }
+
+  /** Replaces what never boots; returns what stands idle. `needed` is what the plan counts on. */
+  sweep(needed: ReadonlySet<string>): void {
+    const { now } = this.ctx;
+    for (const m of this.host.machines()) {
+      if (m.retiring !== null) continue;
+      const type = this.ctx.types.get(m.type);
+      if (type === undefined) continue;
+      if (!m.up && m.session === 0 && !m.unresolved && now - m.rentedAt > 3 * type.bootUs + 15 * SECOND) {
+        this.host.retire(m, 'never came up');
+        continue;
+      }
+      if (!m.usable() || m.standing || m.attempts.size > 0 || needed.has(m.name)) continue;
+      if (now - m.idleSince > this.ctx.settings.tuning.idleReturnUs) this.host.retire(m, 'idle');
+    }
+  }
+}
--- /dev/null
+++ b/src/core/leadership.ts
@@ -0,0 +1,227 @@
+/**
+ * One leader with a lease and a term in the state service. The leader's right ends by its own steady
+ * clock, counted from when the last successful renewal was sent, less what clocks may drift.
+ */
+import type { Context } from './context.js';
+import { LEAD, TERM } from './keys.js';
+import type { Micros, StateReply } from './model.js';
+import { MILLI, SECOND } from './model.js';
+
+/** Steady clocks drift apart by up to 0.05%; twice that is taken off every lease. */
+export const DRIFT = 0.001;
+
+interface LeadRecord {
+  readonly member: string;
+  readonly term: number;
+}
+
+const asLead = (v: unknown): LeadRecord | null => {
+  const r = v as Partial<LeadRecord> | null;
+  return typeof r === 'object' && r !== null && typeof r.member === 'string' && typeof r.term === 'number'
+    ? { member: r.member, term: r.term }
+    : null;
+};
+
+export interface Office {
+  readonly term: number;
+  /** Version of the leader's key: the condition that fences every write of the leader. */
+  readonly version: number;
+  readonly lease: number;
+  /** When the key was surely ours. */
+  readonly since: Micros;
+}
+
+export class Leadership {
+  /** The leader as last seen in the state service. */
+  leader: string | null = null;
+  office: Office | null = null;
+  private rightEnds: Micros = 0;
+  private holdOffUntil: Micros = 0;
+  private looking = false;
+  private acquiring = false;
+  private renewSeq = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly onWon: (office: Office) => void,
+    private readonly onLost: () => void,
+  ) {}
+
+  private get ttl(): Micros {
+    return this.ctx.settings.tuning.leaderLeaseUs;
+  }
+
+  /** Whether orders and 200s may be sent now. */
+  hasRight(): boolean {
+    return this.office !== null && this.ctx.now < this.rightEnds;
+  }
+
+  start(): void {
+    this.look();
+  }
+
+  /** Gives the office up on purpose, so that a node that reaches the workers can take it. */
+  resign(holdOff: Micros, reason: string): void {
+    const office = this.office;
+    if (office === null) return;
+    this.ctx.info('leader.resign', { term: office.term, reason });
+    this.holdOffUntil = this.ctx.now + holdOff;
+    this.rightEnds = 0;
+    this.ctx.state({ kind: 'revoke', lease: office.lease }, 0, () => {
+      this.lose('resigned');
+    });
+  }
+
+  lose(reason: string): void {
+    if (this.office === null) return;
+    this.ctx.info('leader.lost', { term: this.office.term, reason });
+    this.office = null;
+    this.rightEnds = 0;
+    this.leader = null;
+    this.ctx.emit({ kind: 'role', leader: false });
+    this.onLost();
+    this.look();
+  }
+
+  private again(delay: Micros): void {
+    this.looking = false;
+    this.ctx.after(delay, () => {
+      this.look();
+    });
+  }
+
+  private look(): void {
+    if (this.looking || this.acquiring || this.office !== null) return;
+    this.looking = true;
+    this.ctx.state({ kind: 'get', key: LEAD }, 0, (r) => {
+      if (r.kind === 'item') {
+        const lead = asLead(r.item.value);
+        if (lead?.member === this.ctx.settings.member && r.item.lease !== null) {
+          // The state service's word for our own name: a predecessor of this process, surely dead, or an
+          // attempt of ours whose answer was lost. Either way nobody acts under it.
+          this.ctx.info('leader.predecessor', { term: lead.term });
+          this.ctx.state({ kind: 'revoke', lease: r.item.lease }, 0, () => {
+            this.again(0);
+          });
+          return;
+        }
+        this.leader = lead?.member ?? null;
+        this.watch(r.item.version);
+      } else if (r.kind === 'missing') {
+        this.leader = null;
+        this.looking = false;
+        this.acquire();
+      } else {
+        this.again(300 * MILLI);
+      }
+    });
+  }
+
+  private watch(after: number): void {
+    this.ctx.state({ kind: 'watch', prefix: LEAD, after, waitMs: 10_000 }, 0, (r) => {
+      if (r.kind === 'events') {
+        const gone = r.events.some((e) => e.kind === 'delete' && e.key === LEAD);
+        if (gone || r.events.length > 0) this.again(0);
+        else this.watch(Math.max(after, r.revision));
+      } else {
+        this.again(r.kind === 'tooOld' ? 0 : 500 * MILLI);
+      }
+    });
+  }
+
+  private acquire(): void {
+    if (this.acquiring || this.office !== null) return;
+    if (this.ctx.now < this.holdOffUntil) {
+      this.again(500 * MILLI);
+      return;
+    }
+    this.acquiring = true;
+    const sent = this.ctx.now;
+    this.ctx.state({ kind: 'grant', ttlMs: Math.floor(this.ttl / MILLI) }, 0, (g) => {
+      if (g.kind !== 'granted') {
+        this.giveUp(null, 300 * MILLI);
+        return;
+      }
+      this.ctx.state({ kind: 'get', key: TERM }, 0, (t) => {
+        if (t.kind === 'item' || t.kind === 'missing') this.claim(sent, g.lease, t);
+        else this.giveUp(g.lease, 300 * MILLI);
+      });
+    });
+  }
+
+  private claim(sent: Micros, lease: number, t: StateReply & { kind: 'item' | 'missing' }): void {
+    const version = t.kind === 'item' ? t.item.version : 0;
+    const last = t.kind === 'item' ? (t.item.value as { n?: unknown } | null)?.n : 0;
+    if (typeof last !== 'number') {
+      this.ctx.error('leader.term_unreadable');
+      this.giveUp(lease, SECOND);
+      return;
+    }
+    const term = last + 1;
+    const value: LeadRecord = { member: this.ctx.settings.member, term };
+    this.ctx.state(
+      {
+        kind: 'txn',
+        conditions: [
+          { key: LEAD, version: 0 },
+          { key: TERM, version },
+        ],
+        writes: [
+          { kind: 'put', key: LEAD, value, lease },
+          { kind: 'put', key: TERM, value: { n: term } },
+        ],
+      },
+      0,
+      (r) => {
+        if (r.kind !== 'ok') {
+          this.giveUp(lease, r.kind === 'conflict' ? 0 : 300 * MILLI);
+          return;
+        }
+        this.acquiring = false;
+        this.leader = value.member;
+        this.office = { term, version: r.revision, lease, since: this.ctx.now };
+        this.extend(sent);
+        this.ctx.emit({ kind: 'role', leader: true });
+        this.ctx.info('leader.won', { term });
+        this.renewLater(this.office);
+        this.onWon(this.office);
+      },
+    );
+  }
+
+  private giveUp(lease: number | null, delay: Micros): void {
+    if (lease !== null) this.ctx.state({ kind: 'revoke', lease }, 2, () => undefined);
+    this.acquiring = false;
+    this.again(delay);
+  }
+
+  private extend(sent: Micros): void {
+    this.rightEnds = Math.max(this.rightEnds, sent + Math.floor(this.ttl * (1 - DRIFT)) - 20 * MILLI);
+  }
+
+  private renewLater(office: Office): void {
+    const seq = ++this.renewSeq;
+    this.ctx.after(Math.floor(this.ttl / 5), () => {
+      this.renew(office, seq);
+    });
+  }
+
+  private renew(office: Office, seq: number): void {
+    if (this.office !== office || seq !== this.renewSeq) return;
+    const sent = this.ctx.now;
+    this.ctx.state({ kind: 'renew', lease: office.lease }, 0, (r) => {
+      if (this.office !== office) return;
+      if (r.kind === 'ok') {
+        const had = this.hasRight();
+        if (this.holdOffUntil <= this.ctx.now) this.extend(sent);
+        if (!had) this.ctx.info('leader.resumed', { term: office.term });
+      } else if (r.kind === 'noLease') {
+        this.lose('lease ended');
+        return;
+      } else if (!this.hasRight()) {
+        this.ctx.info('leader.suspended', { term: office.term });
+      }
+      this.renewLater(office);
+    });
+  }
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,101 @@
+/** The command line: a thin program over the library. */
+import { readFileSync } from 'node:fs';
+import { Command, CommanderError } from 'commander';
+import { Effect, Layer } from 'effect';
+import type { Item, Settings, StateReply } from './core/model.js';
+import { JOBS, LEAD, MACHINES } from './core/keys.js';
+import { Clients, ClientsLive } from './runtime/clients.js';
+import { LogLive } from './runtime/log.js';
+import { runNode } from './runtime/node.js';
+import { parseSettings, SettingsError } from './settings/settings.js';
+
+interface FileOptions {
+  readonly config: string;
+  readonly operators?: string;
+}
+
+const EXIT_USAGE = 2;
+const EXIT_FAILED = 1;
+
+const load = (o: FileOptions): Settings => {
+  const text = (path: string): string => {
+    try {
+      return readFileSync(path, 'utf8');
+    } catch (e) {
+      throw new SettingsError(`${path}: ${(e as Error).message}`);
+    }
+  };
+  return parseSettings(text(o.config), o.operators === undefined ? null : text(o.operators));
+};
+
+const serve = (o: FileOptions): void => {
+  const settings = load(o);
+  const layers = Layer.merge(LogLive(settings.member), ClientsLive(settings));
+  Effect.runPromise(Effect.scoped(runNode(settings)).pipe(Effect.provide(layers))).catch((e: unknown) => {
+    console.error(String(e));
+    process.exit(EXIT_FAILED);
+  });
+};
+
+const page = (prefix: string, after: string | undefined): Effect.Effect<StateReply, never, Clients> =>
+  Clients.pipe(
+    Effect.flatMap((c) =>
+      c.state({ kind: 'list', prefix, limit: 500, ...(after === undefined ? {} : { after }) }, 2),
+    ),
+  );
+
+/** Prints everything under a prefix, one JSON object a line. Reads only. */
+const show = (o: FileOptions, prefix: string): void => {
+  const settings = load(o);
+  const all = Effect.gen(function* () {
+    let after: string | undefined;
+    for (;;) {
+      const r = yield* page(prefix, after);
+      if (r.kind !== 'items') return false;
+      for (const it of r.items as readonly Item[])
+        console.log(JSON.stringify({ key: it.key, value: it.value }));
+      after = r.items.at(-1)?.key;
+      if (!r.more || after === undefined) return true;
+    }
+  });
+  Effect.runPromise(all.pipe(Effect.provide(ClientsLive(settings)))).then((ok) => {
+    if (!ok) console.error('the state service does not answer');
+    process.exit(ok ? 0 : EXIT_FAILED);
+  }, console.error);
+};
+
+const program = new Command('shaleyoke')
+  .description('Cluster scheduler: accepts jobs, rents machines, places tasks on them.')
+  .version('0.1.0')
+  .exitOverride();
+
+const withFiles = (name: string, description: string): Command =>
+  program
+    .command(name)
+    .description(description)
+    .option('--operators <file>', "operators' own settings (YAML)")
+    .requiredOption('--config <file>', "the platform's settings (TOML)");
+
+withFiles('serve', 'run one controller until it is killed').action(serve);
+withFiles('check-config', 'check the settings and print them as understood').action((o: FileOptions) => {
+  console.log(JSON.stringify(load(o), null, 2));
+});
+withFiles('leader', 'show who leads').action((o: FileOptions) => {
+  show(o, LEAD);
+});
+withFiles('jobs', 'list the jobs that have not ended').action((o: FileOptions) => {
+  show(o, JOBS);
+});
+withFiles('machines', 'list the machines on record').action((o: FileOptions) => {
+  show(o, MACHINES);
+});
+
+try {
+  program.parse();
+} catch (e) {
+  if (e instanceof CommanderError) process.exitCode = e.exitCode === 0 ? 0 : EXIT_USAGE;
+  else if (e instanceof SettingsError) {
+    console.error(e.message);
+    process.exitCode = EXIT_USAGE;
+  } else throw e;
+}
--- /dev/null
+++ b/src/protocol/body.ts
@@ -0,0 +1,79 @@
+/** Bodies in MessagePack, and checked access to what they hold. */
+import { decode, encode } from '@msgpack/msgpack';
+
+export type Fields = Readonly<Record<string, unknown>>;
+
+export const MAX_BODY = 64 * 1024;
+
+/** Raised by the readers below; callers turn it into 400 or into "no answer". */
+export class Malformed extends Error {}
+
+export const encodeBody = (value: unknown): Buffer => {
+  const bytes = encode(value, { ignoreUndefined: true });
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+};
+
+export const decodeBody = (bytes: Uint8Array): unknown => {
+  try {
+    return decode(bytes);
+  } catch {
+    throw new Malformed('not MessagePack');
+  }
+};
+
+export const asFields = (value: unknown, what: string): Fields => {
+  if (typeof value !== 'object' || value === null || Array.isArray(value))
+    throw new Malformed(`${what}: not a map`);
+  return value as Fields;
+};
+
+export const list = (value: unknown, what: string): readonly unknown[] => {
+  if (!Array.isArray(value)) throw new Malformed(`${what}: not a list`);
+  return value;
+};
+
+export const text = (f: Fields, name: string): string => {
+  const v = f[name];
+  if (typeof v !== 'string') throw new Malformed(`${name}: not text`);
+  return v;
+};
+
+export const optionalText = (f: Fields, name: string): string | null => {
+  const v = f[name];
+  if (v === null || v === undefined) return null;
+  if (typeof v !== 'string') throw new Malformed(`${name}: not text`);
+  return v;
+};
+
+export const amount = (f: Fields, name: string): number => {
+  const v = f[name];
+  if (typeof v !== 'number' || !Number.isFinite(v) || v < 0)
+    throw new Malformed(`${name}: not an amount of 0 or more`);
+  return v;
+};
+
+export const optionalAmount = (f: Fields, name: string): number | null =>
+  f[name] === null || f[name] === undefined ? null : amount(f, name);
+
+export const integer = (f: Fields, name: string): number => {
+  const v = f[name];
+  if (typeof v !== 'number' || !Number.isInteger(v) || v < 0)
+    throw new Malformed(`${name}: not an integer of 0 or more`);
+  return v;
+};
+
+export const flag = (f: Fields, name: string): boolean => {
+  const v = f[name];
+  if (typeof v !== 'boolean') throw new Malformed(`${name}: not true or false`);
+  return v;
+};
+
+/** Seconds on the wire, whole microseconds inside. */
+export const micros = (seconds: number): number => Math.round(seconds * 1e6);
+export const seconds = (us: number): number => us / 1e6;
+
+export const oneOf = <T>(table: ReadonlyMap<string, T>, f: Fields, name: string): T => {
+  const v = table.get(text(f, name));
+  if (v === undefined) throw new Malformed(`${name}: not a known value`);
+  return v;
+};
--- /dev/null
+++ b/src/protocol/workers.ts
@@ -0,0 +1,120 @@
+/** Workers: their reports, the answers to them, and direct orders. */
+import type {
+  ExitCause,
+  Order,
+  OrdersReply,
+  Report,
+  ReportedTask,
+  TaskState,
+  WorkerAnswer,
+} from '../core/model.js';
+import {
+  asFields,
+  decodeBody,
+  encodeBody,
+  flag,
+  integer,
+  list,
+  Malformed,
+  micros,
+  oneOf,
+  optionalAmount,
+  seconds,
+  text,
+} from './body.js';
+
+const STATES: ReadonlyMap<string, TaskState> = new Map([
+  ['pulling', 'fetching'],
+  ['gathering', 'waiting'],
+  ['running', 'running'],
+  ['flushing', 'saving'],
+  ['exited', 'exited'],
+]);
+const CAUSES: ReadonlyMap<string, ExitCause> = new Map([
+  ['done', 'done'],
+  ['stopped', 'stopped'],
+  ['peers', 'peers'],
+  ['incomplete', 'alone'],
+  ['error', 'error'],
+  ['full', 'noRoom'],
+  ['busy', 'busy'],
+  ['no_such', 'unknown'],
+]);
+
+export const taskName = (job: string, index: number): string => `${job}/${index}`;
+
+const splitTask = (name: string): { job: string; index: number } => {
+  const cut = name.lastIndexOf('/');
+  const index = Number(name.slice(cut + 1));
+  if (cut <= 0 || !Number.isInteger(index) || index < 0) throw new Malformed('part: not a task');
+  return { job: name.slice(0, cut), index };
+};
+
+const decodeTask = (value: unknown): ReportedTask => {
+  const f = asFields(value, 'part');
+  const state = oneOf(STATES, f, 'stage');
+  return {
+    ...splitTask(text(f, 'part')),
+    attempt: integer(f, 'try'),
+    state,
+    cause: state === 'exited' ? oneOf(CAUSES, f, 'cause') : null,
+    saved: f['saved'] === true,
+  };
+};
+
+export const decodeReport = (value: unknown): Report => {
+  const f = asFields(value, 'report');
+  const notice = optionalAmount(f, 'recall_s');
+  return {
+    machine: text(f, 'berth'),
+    address: text(f, 'address'),
+    type: text(f, 'model'),
+    zone: text(f, 'hall'),
+    spot: flag(f, 'loaners'),
+    session: integer(f, 'shift'),
+    seq: integer(f, 'tally'),
+    token: integer(f, 'baton'),
+    noticeUs: notice === null ? null : micros(notice),
+    tasks: list(f['parts'], 'parts').map(decodeTask),
+  };
+};
+
+const encodeOrder = (o: Order): unknown => {
+  const part = taskName(o.job, o.index);
+  switch (o.op) {
+    case 'start':
+      return { verb: 'launch', part, try: o.attempt };
+    case 'stop':
+      return { verb: 'kill', part, try: o.attempt, leeway_s: seconds(o.graceUs) };
+    case 'forget':
+      return { verb: 'clear', part, try: o.attempt };
+  }
+};
+
+export const encodeWorkerAnswer = (a: WorkerAnswer): { status: number; body: Buffer } => {
+  switch (a.kind) {
+    case 'accepted':
+      return { status: 200, body: encodeBody({ baton: a.token, orders: a.orders.map(encodeOrder) }) };
+    case 'redirect':
+      return { status: 421, body: encodeBody(a.leader === null ? {} : { foreman: a.leader }) };
+    case 'unavailable':
+      return { status: 503, body: encodeBody({ error: 'not entitled to answer reports now' }) };
+  }
+};
+
+export const ORDERS_PATH = '/orders';
+
+export const encodeOrders = (token: number, session: number, orders: readonly Order[]): Buffer =>
+  encodeBody({ baton: token, shift: session, orders: orders.map(encodeOrder) });
+
+/** A malformed answer counts as none: whether the orders were executed stays open. */
+export const decodeOrdersReply = (status: number, bytes: Uint8Array): OrdersReply => {
+  if (status !== 200 && status !== 409) return { kind: 'lost', report: null };
+  try {
+    const report = decodeReport(decodeBody(bytes));
+    return { kind: status === 200 ? 'executed' : 'refused', report };
+  } catch (e) {
+    if (e instanceof Malformed) return { kind: 'lost', report: null };
+    throw e;
+  }
+};
--- /dev/null
+++ b/src/runtime/log.ts
@@ -0,0 +1,23 @@
+/** Structured logs on standard error, one JSON object a line, in the amount that LOG_LEVEL sets. */
+import { Context, Layer } from 'effect';
+import type { LogFields, LogLevel } from '../core/model.js';
+
+const ORDER: Record<LogLevel, number> = { error: 0, info: 1, debug: 2 };
+
+export interface LogService {
+  readonly write: (level: LogLevel, event: string, fields: LogFields) => void;
+}
+export class Log extends Context.Tag('Log')<Log, LogService>() {}
+
+export const LogLive = (member: string): Layer.Layer<Log> => {
+  const wanted = process.env['LOG_LEVEL'] ?? 'info';
+  const limit = ORDER[wanted as LogLevel] ?? ORDER.info;
+  return Layer.succeed(Log, {
+    write: (level, event, fields) => {
+      if (ORDER[level] > limit) return;
+      process.stderr.write(
+        JSON.stringify({ at: new Date().toISOString(), level, member, event, ...fields }) + '\n',
+      );
+    },
+  });
+};
--- /dev/null
+++ b/src/runtime/node.ts
@@ -0,0 +1,185 @@
+/** One controller: feeds the core and carries out what it returns. */
+import { Effect, Runtime, type Scope } from 'effect';
+import { Core } from '../core/core.js';
+import type { CoreEffect, Input, Settings, UserRequest } from '../core/model.js';
+import { decodeBody, encodeBody, Malformed } from '../protocol/body.js';
+import { decodePeer, PEER_PATH } from '../protocol/peers.js';
+import { decodeSubmission, encodeUserAnswer, route } from '../protocol/users.js';
+import { decodeReport, encodeWorkerAnswer } from '../protocol/workers.js';
+import { Clients, type ClientsService } from './clients.js';
+import { steadyNow, wallNow } from './clock.js';
+import { Log, type LogService } from './log.js';
+import { listen, type Outgoing } from './servers.js';
+
+const plain = (status: number): Outgoing => ({ status, body: encodeBody({}) });
+
+class Node {
+  private readonly core: Core;
+  private readonly open = new Map<number, (o: Outgoing) => void>();
+  private nextRequest = 1;
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    settings: Settings,
+    private readonly clients: ClientsService,
+    private readonly log: LogService,
+    private readonly run: <A>(e: Effect.Effect<A>, then: (a: A) => void) => void,
+  ) {
+    this.core = new Core(settings, steadyNow);
+  }
+
+  feed(input: Input): void {
+    try {
+      for (const e of this.core.step(steadyNow(), input)) this.perform(e);
+    } catch (e) {
+      // A mistake of ours must not take the node, and with it users' requests, down.
+      this.log.write('error', 'core.exception', { input: input.kind, stack: (e as Error).stack });
+    }
+  }
+
+  private wake(at: number): void {
+    if (this.timer !== null) clearTimeout(this.timer);
+    const ms = Math.max(1, Math.ceil((at - steadyNow()) / 1000));
+    this.timer = setTimeout(() => {
+      this.timer = null;
+      this.feed({ kind: 'timer' });
+    }, ms);
+  }
+
+  private perform(e: CoreEffect): void {
+    switch (e.kind) {
+      case 'state':
+        this.run(this.clients.state(e.op, e.urgency), (reply) => {
+          this.feed({ kind: 'state', call: e.call, reply });
+        });
+        return;
+      case 'cloud':
+        this.run(this.clients.cloud(e.op, e.urgency), (reply) => {
+          this.feed({ kind: 'cloud', call: e.call, reply });
+        });
+        return;
+      case 'orders':
+        this.run(this.clients.orders(e.address, e.token, e.session, e.orders), (reply) => {
+          this.feed({ kind: 'orders', call: e.call, reply });
+        });
+        return;
+      case 'peer':
+        this.run(this.clients.peer(e.member, e.message), () => undefined);
+        return;
+      case 'answerUser': {
+        const a = encodeUserAnswer(e.answer);
+        // A node that can't serve now says so at once and lets the retry go to another one.
+        this.answer(e.request, { ...a, close: a.status === 503 });
+        return;
+      }
+      case 'answerWorker':
+        this.answer(e.request, encodeWorkerAnswer(e.answer));
+        return;
+      case 'wake':
+        this.wake(e.at);
+        return;
+      case 'role':
+        this.clients.role(e.leader);
+        return;
+      case 'log':
+        this.log.write(e.level, e.event, e.fields);
+        return;
+    }
+  }
+
+  private answer(request: number, o: Outgoing): void {
+    const reply = this.open.get(request);
+    this.open.delete(request);
+    reply?.(o);
+  }
+
+  private ask(answer: (o: Outgoing) => void, body: UserRequest): void {
+    const request = this.nextRequest++;
+    this.open.set(request, answer);
+    this.feed({ kind: 'user', request, body, wallUs: wallNow() });
+  }
+
+  onPublic(method: string, url: string, body: Buffer, answer: (o: Outgoing) => void): void {
+    const r = route(method, url);
+    switch (r.kind) {
+      case 'refused':
+        answer(plain(r.status));
+        return;
+      case 'health':
+        this.ask(answer, { kind: 'health' });
+        return;
+      case 'poll':
+      case 'cancel':
+        this.ask(answer, { kind: r.kind, id: r.id });
+        return;
+      case 'submit':
+        this.ask(answer, decodeSubmission(body));
+        return;
+      case 'report':
+        this.onReport(body, answer);
+        return;
+    }
+  }
+
+  private onReport(body: Buffer, answer: (o: Outgoing) => void): void {
+    try {
+      const report = decodeReport(decodeBody(body));
+      const request = this.nextRequest++;
+      this.open.set(request, answer);
+      this.feed({ kind: 'report', request, report });
+    } catch (e) {
+      if (!(e instanceof Malformed)) throw e;
+      this.log.write('error', 'report.malformed', { problem: e.message });
+      answer(plain(400));
+    }
+  }
+
+  onPeer(url: string, body: Buffer, answer: (o: Outgoing) => void): void {
+    if (url !== PEER_PATH) {
+      answer(plain(404));
+      return;
+    }
+    const message = decodePeer(body);
+    if (message === null) {
+      this.log.write('error', 'peer.malformed', { bytes: body.length });
+      answer(plain(400));
+      return;
+    }
+    answer({ status: 200, body: Buffer.alloc(0) });
+    this.feed({ kind: 'peer', message });
+  }
+
+  start(): void {
+    this.feed({ kind: 'start', wallUs: wallNow() });
+  }
+}
+
+/** Sockets kept for calls to workers, peers, cloud and state service. */
+const OUTGOING_SHARE = 0.25;
+
+export const runNode = (settings: Settings): Effect.Effect<never, Error, Clients | Log | Scope.Scope> =>
+  Effect.gen(function* () {
+    const clients = yield* Clients;
+    const log = yield* Log;
+    const runtime = yield* Effect.runtime();
+    const run = <A>(e: Effect.Effect<A>, then: (a: A) => void): void => {
+      Runtime.runCallback(runtime)(e, {
+        onExit: (exit) => {
+          if (exit._tag === 'Success') then(exit.value);
+          else log.write('error', 'runtime.failure', { cause: String(exit.cause) });
+        },
+      });
+    };
+    const node = new Node(settings, clients, log, run);
+    const limit =
+      settings.maxConnections > 0 ? Math.floor(settings.maxConnections * (1 - OUTGOING_SHARE)) : 0;
+    yield* listen(settings.listen, limit, (r, answer) => {
+      node.onPublic(r.method, r.url, r.body, answer);
+    });
+    yield* listen(settings.peerListen, 0, (r, answer) => {
+      node.onPeer(r.url, r.body, answer);
+    });
+    log.write('info', 'node.started', { listen: settings.listen, upS: process.uptime() });
+    node.start();
+    return yield* Effect.never;
+  });
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,170 @@
+/** The platform's file (TOML) and the operators' own file (YAML), checked into `Settings`. */
+import { Either, Schema, ParseResult } from 'effect';
+import { parse as parseToml } from 'smol-toml';
+import { parse as parseYaml } from 'yaml';
+import type { Settings, Tuning } from '../core/model.js';
+
+const us = (s: number): number => Math.round(s * 1e6);
+
+const Address = Schema.String.pipe(
+  Schema.pattern(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, { message: () => 'expected IP:PORT' }),
+);
+const Positive = Schema.Number.pipe(Schema.positive(), Schema.finite());
+const NonNegative = Schema.Number.pipe(Schema.nonNegative(), Schema.finite());
+const zero = { default: () => 0 };
+
+const Platform = Schema.Struct({
+  member: Schema.NonEmptyString,
+  site: Schema.String,
+  listen: Address,
+  cluster_listen: Address,
+  peers: Schema.optionalWith(
+    Schema.Array(Schema.Struct({ member: Schema.NonEmptyString, address: Address })),
+    {
+      default: () => [],
+    },
+  ),
+  endpoints: Schema.Struct({ cloud: Address, state: Address }),
+  cluster: Schema.Struct({
+    initial_size: Schema.optional(Positive),
+    teams: Schema.optionalWith(
+      Schema.Array(
+        Schema.Struct({
+          name: Schema.NonEmptyString,
+          cpus: Schema.optionalWith(NonNegative, zero),
+          cpus_max: Schema.optionalWith(NonNegative, zero),
+          gpus: Schema.optionalWith(NonNegative, zero),
+          gpus_max: Schema.optionalWith(NonNegative, zero),
+        }),
+      ),
+      { default: () => [] },
+    ),
+    objectives: Schema.optionalWith(
+      Schema.Array(
+        Schema.Struct({
+          kind: Schema.String,
+          class: Schema.optional(Schema.String),
+          within_s: Schema.optional(NonNegative),
+          share: Schema.optional(NonNegative),
+        }),
+      ),
+      { default: () => [] },
+    ),
+    workers: Schema.Struct({
+      report_s: Positive,
+      lease_s: Positive,
+      gang_wait_s: Positive,
+      gang_peer_s: Positive,
+      cancel_s: Positive,
+    }),
+    state: Schema.Struct({
+      rps: Positive,
+      write_rps: Positive,
+      value_kb: Positive,
+      txn_ops: Positive,
+    }),
+    cloud: Schema.Struct({ rps: Positive, list_lag_s: NonNegative }),
+    machine_limits: Schema.optionalWith(
+      Schema.Struct({ max_connections: Schema.optionalWith(NonNegative, zero) }),
+      { default: () => ({ max_connections: 0 }) },
+    ),
+  }),
+});
+
+const Operators = Schema.Struct({
+  leader_lease_s: Schema.optionalWith(Positive, { default: () => 6 }),
+  silent_s: Schema.optionalWith(Positive, { default: () => 10 }),
+  search_budget_ms: Schema.optionalWith(Positive, { default: () => 20 }),
+  search_width: Schema.optionalWith(Positive, { default: () => 6 }),
+  search_depth: Schema.optionalWith(Positive, { default: () => 12 }),
+  search_tolerance_s: Schema.optionalWith(NonNegative, { default: () => 1 }),
+  turn_wait_s: Schema.optionalWith(NonNegative, { default: () => 60 }),
+  idle_return_s: Schema.optionalWith(NonNegative, { default: () => 20 }),
+  rent_margin_s: Schema.optionalWith(NonNegative, { default: () => 20 }),
+  progress_s: Schema.optionalWith(Positive, { default: () => 2 }),
+});
+
+export class SettingsError extends Error {}
+
+const check = <A, I>(schema: Schema.Schema<A, I>, value: unknown, what: string): A => {
+  const r = Schema.decodeUnknownEither(schema, { errors: 'all' })(value);
+  if (Either.isRight(r)) return r.right;
+  const lines = ParseResult.ArrayFormatter.formatErrorSync(r.left).map(
+    (e) => `${what}: ${e.path.join('.') || '(whole file)'}: ${e.message}`,
+  );
+  throw new SettingsError(lines.join('\n'));
+};
+
+const read = (parse: (s: string) => unknown, source: string, what: string): unknown => {
+  try {
+    return parse(source);
+  } catch (e) {
+    throw new SettingsError(`${what}: ${(e as Error).message}`);
+  }
+};
+
+export const parseTuning = (yaml: string | null): Tuning => {
+  const value = yaml === null ? {} : (read(parseYaml, yaml, 'operators settings') ?? {});
+  const o = check(Operators, value, 'operators settings');
+  return {
+    leaderLeaseUs: us(o.leader_lease_s),
+    silentUs: us(o.silent_s),
+    searchBudgetUs: us(o.search_budget_ms / 1000),
+    searchWidth: o.search_width,
+    searchDepth: o.search_depth,
+    searchToleranceUs: us(o.search_tolerance_s),
+    turnWaitUs: us(o.turn_wait_s),
+    idleReturnUs: us(o.idle_return_s),
+    rentMarginUs: us(o.rent_margin_s),
+    progressUs: us(o.progress_s),
+  };
+};
+
+export const parseSettings = (toml: string, yaml: string | null): Settings => {
+  const p = check(Platform, read(parseToml, toml, 'settings'), 'settings');
+  const c = p.cluster;
+  const tuning = parseTuning(yaml);
+  const leaseUs = us(c.workers.lease_s);
+  const cancelUs = us(c.workers.cancel_s);
+  // A leader cut off from the state service must stop, and its workers' leases run out, in time for
+  // cancellations it can't know of: the lease never outgrows what `cancel_s` leaves.
+  const roomUs = Math.floor((cancelUs - leaseUs) / 2);
+  return {
+    member: p.member,
+    listen: p.listen,
+    peerListen: p.cluster_listen,
+    peers: p.peers,
+    cloudAddress: p.endpoints.cloud,
+    stateAddress: p.endpoints.state,
+    members: p.peers.length + 1,
+    teams: c.teams.map((t) => ({
+      name: t.name,
+      cores: t.cpus,
+      coresMax: t.cpus_max,
+      gpus: t.gpus,
+      gpusMax: t.gpus_max,
+    })),
+    objectives: c.objectives.map((o) => ({
+      kind: o.kind,
+      class: o.class ?? null,
+      withinUs: o.within_s === undefined ? null : us(o.within_s),
+      share: o.share ?? null,
+    })),
+    reportUs: us(c.workers.report_s),
+    leaseUs,
+    gangWaitUs: us(c.workers.gang_wait_s),
+    gangPeerUs: us(c.workers.gang_peer_s),
+    cancelUs,
+    stateRps: c.state.rps,
+    stateWriteRps: c.state.write_rps,
+    valueBytes: Math.floor(c.state.value_kb * 1024),
+    txnOps: Math.floor(c.state.txn_ops),
+    cloudRps: c.cloud.rps,
+    listLagUs: us(c.cloud.list_lag_s),
+    maxConnections: c.machine_limits.max_connections,
+    tuning: {
+      ...tuning,
+      leaderLeaseUs: Math.max(1_000_000, Math.min(tuning.leaderLeaseUs, roomUs)),
+    },
+  };
+};
--- /dev/null
+++ b/test/formats.test.ts
@@ -0,0 +1,147 @@
+/** Round trips and malformed input for every format. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { encode } from '@msgpack/msgpack';
+import fc from 'fast-check';
+import { decodeBody, encodeBody, Malformed } from '../src/protocol/body.js';
+import { decodeCloudReply } from '../src/protocol/cloud.js';
+import { decodePeer, encodePeer } from '../src/protocol/peers.js';
+import { decodeStateReply } from '../src/protocol/state.js';
+import { decodeSubmission, route } from '../src/protocol/users.js';
+import { decodeOrdersReply, decodeReport } from '../src/protocol/workers.js';
+import { Bits } from '../src/core/records.js';
+
+const seed = { seed: 20261, numRuns: 300 };
+
+const submission = {
+  ref: 'run-000412',
+  bundle: 'train',
+  owner: 'vision',
+  shape: 'group',
+  urgency: 'urgent',
+  parts: 16,
+  cores: 8,
+  gpus: 1,
+  memory_gb: 64,
+  build: 'img-07',
+  image_gb: 6.2,
+  models: ['g8'],
+  same_place: true,
+  scatter: false,
+  loaners: true,
+  expect_s: 240,
+  snapshot_s: 30,
+  flush_s: 4,
+  due_s: 900,
+};
+
+test('a submission is read whole, in whole microseconds', () => {
+  const r = decodeSubmission(encodeBody(submission));
+  assert.equal(r.kind === 'submit' ? r.problem : '', null);
+  assert.equal(r.kind === 'submit' ? r.spec?.shape : '', 'gang');
+  assert.equal(r.kind === 'submit' ? r.spec?.estimateUs : 0, 240_000_000);
+  assert.equal(r.kind === 'submit' ? r.spec?.zone : '', null);
+});
+
+test('every required field of a submission is missed, and wrong values are named', () => {
+  for (const name of Object.keys(submission)) {
+    if (['models', 'due_s'].includes(name)) continue;
+    const broken: Record<string, unknown> = { ...submission };
+    delete broken[name];
+    const r = decodeSubmission(encodeBody(broken));
+    assert.ok(r.kind === 'submit' && r.spec === null && r.problem!.includes(name), name);
+  }
+  const wrong: [string, unknown][] = [
+    ['parts', 0],
+    ['parts', 1.5],
+    ['parts', 100_001],
+    ['cores', NaN],
+    ['cores', -1],
+    ['memory_gb', Infinity],
+    ['gpus', '1'],
+    ['ref', 'job-1'],
+    ['shape', 'gang'],
+    ['models', ['g8', 3]],
+    ['scatter', 1],
+  ];
+  for (const [name, value] of wrong) {
+    const r = decodeSubmission(encodeBody({ ...submission, [name]: value }));
+    assert.ok(r.kind === 'submit' && r.spec === null, `${name}=${String(value)}`);
+  }
+});
+
+test('no bytes, however odd, break a decoder', () => {
+  fc.assert(
+    fc.property(fc.oneof(fc.uint8Array({ maxLength: 200 }), fc.anything().map(safely)), (bytes) => {
+      const r = decodeSubmission(bytes);
+      assert.equal(r.kind, 'submit');
+      for (const op of [
+        { kind: 'types' },
+        { kind: 'list', after: '', limit: 1 },
+        { kind: 'rent', request: 'r', type: 't', zone: 'z', spot: false, count: 1 },
+      ] as const)
+        for (const status of [200, 400, 503]) decodeCloudReply(op, status, bytes);
+      for (const op of [
+        { kind: 'get', key: 'k' },
+        { kind: 'list', prefix: 'k', limit: 1 },
+        { kind: 'txn', conditions: [], writes: [] },
+        { kind: 'grant', ttlMs: 1 },
+        { kind: 'watch', prefix: 'k', after: 0, waitMs: 1 },
+      ] as const)
+        for (const status of [200, 400, 404, 409, 410, 500]) decodeStateReply(op, status, bytes);
+      for (const status of [200, 409, 500]) decodeOrdersReply(status, bytes);
+      decodePeer(Buffer.from(bytes));
+      try {
+        decodeReport(decodeBody(bytes));
+      } catch (e) {
+        assert.ok(e instanceof Malformed);
+      }
+    }),
+    seed,
+  );
+});
+
+const safely = (v: unknown): Uint8Array => {
+  try {
+    return encode(v);
+  } catch {
+    return new Uint8Array([0xc1]);
+  }
+};
+
+test('peer messages survive the way there', () => {
+  const note = fc.record({ id: fc.string(), done: fc.nat(100_000), running: fc.nat(100_000) });
+  fc.assert(
+    fc.property(fc.string(), fc.nat(), fc.array(note, { maxLength: 40 }), (member, term, notes) => {
+      assert.deepEqual(decodePeer(encodePeer({ kind: 'progress', member, term, notes })), {
+        kind: 'progress',
+        member,
+        term,
+        notes,
+      });
+    }),
+    seed,
+  );
+});
+
+test('sets of done tasks survive being written in segments', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 3000 }), fc.array(fc.nat(2999)), (size, picks) => {
+      const a = new Bits(size);
+      for (const p of picks) a.add(p % size);
+      const b = new Bits(size);
+      for (let from = 0; from < a.bytes.length; from += 64) b.merge(from, a.encode(from, from + 64));
+      assert.deepEqual(b.bytes, a.bytes);
+      assert.equal(b.count, a.count);
+    }),
+    seed,
+  );
+});
+
+test('paths and methods', () => {
+  assert.deepEqual(route('GET', '/api/jobs/run-1'), { kind: 'poll', id: 'run-1' });
+  assert.deepEqual(route('POST', '/api/jobs/run-1/abort'), { kind: 'cancel', id: 'run-1' });
+  assert.deepEqual(route('GET', '/api/jobs'), { kind: 'refused', status: 405 });
+  assert.deepEqual(route('POST', '/api/jobs/run-1'), { kind: 'refused', status: 405 });
+  assert.deepEqual(route('GET', '/nothing'), { kind: 'refused', status: 404 });
+});
