--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -77,6 +77,8 @@
   private needed: ReadonlySet<string> = new Set();
   private readonly told = new Map<string, string>();
   private timingsNoted = 0;
+  /** Machines that are gone for good: lists older than that still name them. */
+  private readonly buried = new Map<string, Micros>();
 
   constructor(
     private readonly ctx: Context,
@@ -388,6 +390,7 @@
   listed(l: ListedMachine, standing: boolean): void {
     let m = this.machinesByName.get(l.name);
     if (m === undefined) {
+      if (this.buried.has(l.name)) return;
       if (l.state === 'failed') {
         this.fleet.remove(l.name);
         return;
@@ -405,6 +408,8 @@
     if (!this.machinesByName.has(m.name)) return;
     this.ctx.info('machine.gone', { machine: m.name, reason, tasks: m.attempts.size });
     this.machinesByName.delete(m.name);
+    this.buried.set(m.name, this.ctx.now);
+    if (this.buried.size > 2_000) this.buried.delete(this.buried.keys().next().value!);
     m.up = false;
     m.unresolved = false;
     m.retiring ??= reason;
@@ -437,6 +442,8 @@
   onReport(r: Report): WorkerAnswer {
     let m = this.machinesByName.get(r.machine);
     if (m === undefined) {
+      // A report that was held back outlives its machine.
+      if (this.buried.has(r.machine)) return { kind: 'unavailable' };
       m = this.addMachine(r.machine, r);
       // Never on record, so no leader ever put anything on it.
       this.ctx.info('machine.reported', { machine: r.machine, type: r.type, zone: r.zone });
@@ -1147,6 +1154,35 @@
         this.writer.write({ kind: 'put', key: TIMINGS, value });
     }
     if (this.sweeps % 4 === 0 || this.planAgain) this.planSoon();
+    if (this.sweeps % 20 === 0) this.summarise();
+  }
+
+  /** For operators: where room is, and who waits for it. */
+  private summarise(): void {
+    const fleet: Record<string, { up: number; booting: number; cores: number; gpus: number; tasks: number }> =
+      {};
+    for (const m of this.machinesByName.values()) {
+      const key = `${m.type}/${m.zone}${m.spot ? '/spot' : ''}`;
+      const f = (fleet[key] ??= { up: 0, booting: 0, cores: 0, gpus: 0, tasks: 0 });
+      const type = this.ctx.types.get(m.type);
+      if (type === undefined) continue;
+      if (!m.up) f.booting++;
+      else {
+        f.up++;
+        const free = m.freeOf(type);
+        f.cores += Math.round(free.cores);
+        f.gpus += Math.round(free.gpus);
+        f.tasks += m.attempts.size;
+      }
+    }
+    const waiting: Record<string, { jobs: number; tasks: number }> = {};
+    for (const j of this.jobs.values()) {
+      if (j.phase !== 'active' || j.waiting <= 0) continue;
+      const w = (waiting[j.spec.class] ??= { jobs: 0, tasks: 0 });
+      w.jobs++;
+      w.tasks += j.waiting;
+    }
+    this.ctx.debug('summary', { fleet, waiting });
   }
 
   /** A worker that was not answered for its lease, drift and all, has dropped its tasks. */
--- a/test/formats.test.ts
+++ b/test/formats.test.ts
@@ -46,8 +46,7 @@
 test('every required field of a submission is missed, and wrong values are named', () => {
   for (const name of Object.keys(submission)) {
     if (['models', 'due_s'].includes(name)) continue;
-    const broken: Record<string, unknown> = { ...submission };
-    delete broken[name];
+    const broken = Object.fromEntries(Object.entries(submission).filter(([k]) => k !== name));
     const r = decodeSubmission(encodeBody(broken));
     assert.ok(r.kind === 'submit' && r.spec === null && r.problem!.includes(name), name);
   }
@@ -110,7 +109,10 @@
 };
 
 test('peer messages survive the way there', () => {
-  const note = fc.record({ id: fc.string(), done: fc.nat(100_000), running: fc.nat(100_000) });
+  const note = fc.record(
+    { id: fc.string(), done: fc.nat(100_000), running: fc.nat(100_000) },
+    { noNullPrototype: true },
+  );
   fc.assert(
     fc.property(fc.string(), fc.nat(), fc.array(note, { maxLength: 40 }), (member, term, notes) => {
       assert.deepEqual(decodePeer(encodePeer({ kind: 'progress', member, term, notes })), {
