Order by aims, preemption, packing, consolidation; a search that fits its budget

Cause: gangs waited behind arrays of lower priority and tails of arrays kept machines alive; the play-out spent its 20 ms on groups that could not begin. Ruled out: cloud refusals (capacity is simply full). An exception in one timer no longer swallows the answers of others.

--- /dev/null
+++ b/src/core/aims.ts
@@ -0,0 +1,65 @@
+/**
+ * Which waiting job can still meet which aim. Between turns the order of jobs is discretionary (paper,
+ * 11.2): here it follows the operators' objectives, so that few jobs miss the next one that they can meet.
+ */
+import type { ActiveJob } from './jobs.js';
+import type { Micros, Objective } from './model.js';
+
+/** Latest start that still meets the earliest aim within reach; null when no aim is. */
+export const latestStart = (
+  job: ActiveJob,
+  objectives: readonly Objective[],
+  age: Micros,
+  run: Micros,
+  setup: Micros,
+): Micros | null => {
+  let best: Micros | null = null;
+  const aim = (left: Micros): void => {
+    if (left >= 0 && (best === null || left < best)) best = left;
+  };
+  for (const o of objectives) {
+    if (o.class !== job.spec.class) continue;
+    if (o.kind === 'wait' && o.withinUs !== null && !job.startedOnce) aim(o.withinUs - age - setup);
+    else if (o.kind === 'finished' && o.withinUs !== null) aim(o.withinUs - age - setup - run);
+    else if (o.kind === 'deadline' && job.spec.deadlineUs !== null)
+      aim(job.spec.deadlineUs * o.times - age - setup - run);
+  }
+  return best;
+};
+
+export interface Contender {
+  readonly job: ActiveJob;
+  /** Microseconds from now; null: no aim can be met any more. */
+  readonly latest: Micros | null;
+  /** Room that it needs, in the scarce unit of its pool. */
+  readonly amount: number;
+}
+
+/**
+ * Moore and Hodgson's rule on a pool that frees `rate` of its unit a microsecond and has `free` now: by
+ * latest start, and whenever one would come too late, the largest so far goes to the back.
+ */
+export const orderByAims = (contenders: readonly Contender[], free: number, rate: number): ActiveJob[] => {
+  const byLatest = contenders
+    .filter((c) => c.latest !== null)
+    .sort((a, b) => a.latest! - b.latest! || a.job.at - b.job.at);
+  const kept: Contender[] = [];
+  const back: Contender[] = contenders.filter((c) => c.latest === null);
+  let sum = 0;
+  for (const c of byLatest) {
+    kept.push(c);
+    sum += c.amount;
+    const begins = rate > 0 ? Math.max(0, sum - free) / rate : 0;
+    if (begins <= c.latest!) continue;
+    let largest = 0;
+    for (let i = 1; i < kept.length; i++) if (kept[i]!.amount > kept[largest]!.amount) largest = i;
+    const [out] = kept.splice(largest, 1);
+    sum -= out!.amount;
+    back.push(out!);
+  }
+  back.sort(
+    (a, b) =>
+      Number(a.latest === null) - Number(b.latest === null) || a.amount - b.amount || a.job.at - b.job.at,
+  );
+  return [...kept, ...back].map((c) => c.job);
+};
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -111,7 +111,15 @@
     if (due.length === 0) return;
     this.timers = this.timers.filter((t) => t.at > this.now);
     due.sort((a, b) => a.at - b.at || a.order - b.order);
-    for (const t of due) t.run();
+    for (const t of due) this.guard('timer', t.run);
+  }
+
+  guard(what: string, run: () => void): void {
+    try {
+      run();
+    } catch (e) {
+      this.error('core.exception', { what, stack: e instanceof Error ? e.stack : String(e) });
+    }
   }
 
   nextWake(): Micros | null {
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -36,7 +36,10 @@
     // Time never runs backwards inside, whatever the order in which inputs were stamped.
     this.ctx.now = Math.max(this.ctx.now, now);
     this.ctx.out = [];
-    this.take(input);
+    // A mistake of ours in one place must not swallow what others had to say, nor take the node down.
+    this.ctx.guard(input.kind, () => {
+      this.take(input);
+    });
     this.ctx.runDueTimers();
     const at = this.ctx.nextWake();
     if (at !== null) this.ctx.emit({ kind: 'wake', at });
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -109,6 +109,7 @@
         credit: 0,
         margin: 60 * SECOND,
         phantom: true,
+        runs: new Map(),
       });
     }
     return out;
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -69,6 +69,8 @@
   readonly class: string | null;
   readonly withinUs: Micros | null;
   readonly share: number | null;
+  /** For deadlines: how many times the job's own deadline. */
+  readonly times: number;
 }
 
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
@@ -159,6 +161,8 @@
   readonly searchToleranceUs: Micros;
   /** How long starts pause on machines that drain for the oldest task. */
   readonly turnWaitUs: Micros;
+  /** How often each team's oldest job gets a turn ahead of the order by aims. */
+  readonly turnEveryUs: Micros;
   /** Idle time after which a machine is returned where money is an aim. */
   readonly idleReturnUs: Micros;
   /** How much sooner a rented machine must finish work where money is an aim. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -46,7 +46,9 @@
 } from './records.js';
 import { fits, placeAllowed } from './room.js';
 import { search, type Group, type Picture, type Slot, type Step } from './search.js';
-import { turnOrder, Usage } from './teams.js';
+import { latestStart, orderByAims, type Contender } from './aims.js';
+import { victimsFor, type Rights } from './preemption.js';
+import { guaranteedJobs, turnOrder, Usage } from './teams.js';
 import { Timings } from './timings.js';
 import { Writer } from './writer.js';
 
@@ -71,6 +73,8 @@
   private planning = false;
   private planAgain = false;
   private lastPlan: Micros = 0;
+  /** What the last plan took: the next one waits a multiple of it, so that users' requests get through. */
+  private planCost: Micros = 0;
   /** Silence is counted from here: from the term's begin or the last return of the right. */
   private entitledSince: Micros;
   private hadRight = true;
@@ -821,7 +825,7 @@
     }
     this.planning = true;
     // Events that come together are planned for together.
-    const gap = Math.max(15 * MILLI, this.lastPlan + 80 * MILLI - this.ctx.now);
+    const gap = Math.max(15 * MILLI, this.lastPlan + Math.max(80 * MILLI, 3 * this.planCost) - this.ctx.now);
     this.ctx.after(gap, () => {
       this.planning = false;
       this.planAgain = false;
@@ -914,13 +918,95 @@
     return true;
   }
 
+  /** Team's turns: since when its oldest job has been at the head, and when the next turn is due. */
+  private readonly turns = new Map<string, { job: ActiveJob | null; since: Micros; next: Micros }>();
+
+  /** Jobs whose turn it is first, then by priority and by the aims that can still be met. */
+  private inOrder(): ActiveJob[] {
+    const waiting = turnOrder(
+      [...this.jobs.values()].filter((j) => this.startable(j)),
+      this.ctx.settings.teams,
+    );
+    const first = this.dueTurns(waiting);
+    const rest = waiting.filter((j) => !first.includes(j));
+    const levels = new Map<string, ActiveJob[]>();
+    for (const j of rest) {
+      const key = `${j.spec.priority}|${j.spec.gpus > 0 ? 'gpu' : 'cpu'}`;
+      const level = levels.get(key) ?? [];
+      level.push(j);
+      levels.set(key, level);
+    }
+    const ordered: ActiveJob[] = [];
+    for (const key of [...levels.keys()].sort().reverse())
+      ordered.push(...this.byAims(levels.get(key)!, key.endsWith('gpu')));
+    return [...first, ...ordered];
+  }
+
+  private dueTurns(waiting: readonly ActiveJob[]): ActiveJob[] {
+    const { tuning } = this.ctx.settings;
+    const { now } = this.ctx;
+    const oldest = new Map<string, ActiveJob>();
+    for (const j of waiting) {
+      const o = oldest.get(j.spec.team);
+      if (o === undefined || j.at < o.at) oldest.set(j.spec.team, j);
+    }
+    const out: ActiveJob[] = [];
+    for (const [team, job] of oldest) {
+      const t = this.turns.get(team) ?? { job: null, since: now, next: now + tuning.turnEveryUs };
+      this.turns.set(team, t);
+      if (t.job !== null && !waiting.includes(t.job)) {
+        // It started, or ended: the turn is over.
+        t.job = null;
+        t.next = now + tuning.turnEveryUs;
+      }
+      if (t.job === null && now >= t.next) {
+        t.job = job;
+        t.since = now;
+      }
+      if (t.job === null) continue;
+      if (now - t.since > tuning.turnWaitUs) {
+        // The drain was bounded: others get on, and the turn comes round again.
+        t.job = null;
+        t.next = now + tuning.turnEveryUs;
+      } else out.push(t.job);
+    }
+    return out;
+  }
+
+  private byAims(jobs: readonly ActiveJob[], gpu: boolean): ActiveJob[] {
+    let total = 0;
+    let free = 0;
+    for (const m of this.machinesByName.values()) {
+      const type = this.ctx.types.get(m.type);
+      if (type === undefined || m.retiring !== null) continue;
+      const room = m.freeOf(type);
+      total += gpu ? type.gpus : type.cores;
+      if (m.up) free += Math.max(0, gpu ? room.gpus : room.cores);
+    }
+    let work = 0;
+    let amounts = 0;
+    const contenders = jobs.map((job): Contender => {
+      const { spec } = job;
+      const type = spec.types?.[0] ?? '';
+      const credit = job.credit.get(-1) ?? 0;
+      const run = this.timings.remaining(spec.class, type, spec.estimateUs, credit);
+      const amount = job.waiting * (gpu ? spec.gpus : spec.cores);
+      work += run * amount;
+      amounts += amount;
+      const age = Math.max(0, this.ctx.wallNow - job.at);
+      const setup = 2 * SECOND;
+      return { job, amount, latest: latestStart(job, this.ctx.settings.objectives, age, run, setup) };
+    });
+    const mean = amounts > 0 ? work / amounts : SECOND;
+    return orderByAims(contenders, free, total / Math.max(mean, SECOND));
+  }
+
   private groups(): { groups: Group[]; jobs: Map<Group, ActiveJob> } {
     const usage = this.usage();
     const unaccounted = this.unaccounted();
     const jobs = new Map<Group, ActiveJob>();
     const groups: Group[] = [];
-    const waiting = [...this.jobs.values()].filter((j) => this.startable(j));
-    for (const job of turnOrder(waiting, this.ctx.settings.teams)) {
+    for (const job of this.inOrder()) {
       if (groups.length >= MAX_GROUPS) break;
       const { spec } = job;
       const team = this.ctx.settings.teams.find((t) => t.name === spec.team);
@@ -938,6 +1024,7 @@
         credit: job.credit.get(-1) ?? 0,
         margin: this.ctx.settings.tuning.rentMarginUs,
         phantom: false,
+        runs: new Map(),
       };
       jobs.set(group, job);
       groups.push(group);
@@ -946,9 +1033,17 @@
   }
 
   private plan(): void {
-    this.lastPlan = this.ctx.now;
     if (this.ctx.types.size === 0) return;
+    const began = this.ctx.stopwatch();
+    this.planOnce();
+    this.planCost = this.ctx.stopwatch() - began;
+    this.lastPlan = this.ctx.now;
+  }
+
+  private planOnce(): void {
+    const t0 = this.ctx.stopwatch();
     const { groups, jobs } = this.groups();
+    const t1 = this.ctx.stopwatch();
     const { tuning } = this.ctx.settings;
     const decision = search(
       this.picture(),
@@ -961,6 +1056,7 @@
       },
       this.ctx.stopwatch,
     );
+    const t2 = this.ctx.stopwatch();
     const byJob = new Map<ActiveJob, Step[]>();
     for (const s of decision.steps) {
       const job = jobs.get(s.group);
@@ -970,12 +1066,16 @@
       byJob.set(job, steps);
     }
     for (const [job, steps] of byJob) this.act(job, steps);
+    this.preempt(byJob);
     this.fleet.rentFor(decision);
     this.needed = new Set(
       decision.picture.slots.filter((s) => s.used && s.machine !== null).map((s) => s.machine!),
     );
     if (groups.length > 0)
       this.ctx.debug('plan', {
+        groupsUs: t1 - t0,
+        searchUs: t2 - t1,
+        actUs: this.ctx.stopwatch() - t2,
         groups: groups.length,
         steps: decision.steps.length,
         searched: decision.searched,
@@ -983,6 +1083,95 @@
       });
   }
 
+  private rights(): Rights {
+    const use = new Map<string, { cores: number; gpus: number }>();
+    for (const m of this.machinesByName.values())
+      for (const a of m.attempts.values()) {
+        const { team, cores, gpus } = a.job.spec;
+        const u = use.get(team) ?? { cores: 0, gpus: 0 };
+        u.cores += cores;
+        u.gpus += gpus;
+        use.set(team, u);
+      }
+    const { teams } = this.ctx.settings;
+    const inside = guaranteedJobs([...this.jobs.values()], teams);
+    return { teams, use, guaranteed: (job) => inside.has(job) };
+  }
+
+  /** Stops what work of higher priority, or a guarantee, has a right to, if it would wait much longer. */
+  private preempt(byJob: ReadonlyMap<ActiveJob, readonly Step[]>): void {
+    let rights: Rights | null = null;
+    let made = 0;
+    for (const [job, steps] of byJob) {
+      if (made >= 3 || job.live.size > 0 || job.phase !== 'active') continue;
+      const start = Math.max(...steps.map((s) => s.start));
+      if (start <= this.ctx.now + 8 * SECOND) continue;
+      rights ??= this.rights();
+      const count = job.spec.shape === 'gang' ? job.spec.tasks : Math.min(job.waiting, 16);
+      const victims = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
+      if (victims === null || victims.length === 0) continue;
+      made++;
+      this.ctx.debug('preempt', { job: job.id, victims: victims.map((v) => `${v.job.id}/${v.index}`) });
+      for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
+    }
+  }
+
+  /**
+   * Moves the last tasks of a rented machine that is mostly empty to where there is room, so that it can
+   * be returned. Only tasks that save, have run a while and still have a while to go.
+   */
+  private consolidate(): void {
+    const { now } = this.ctx;
+    for (const j of this.jobs.values()) if (this.startable(j)) return;
+    for (const m of this.machinesByName.values()) if (m.retiring === 'consolidated') return;
+    let best: { m: Machine; share: number } | null = null;
+    for (const m of this.machinesByName.values()) {
+      const type = this.ctx.types.get(m.type);
+      if (type === undefined || m.standing || !m.usable() || m.attempts.size === 0) continue;
+      const free = m.freeOf(type);
+      const share = 1 - (type.gpus > 0 ? free.gpus / type.gpus : free.cores / type.cores);
+      if (share > 0.5 || (best !== null && share >= best.share)) continue;
+      const movable = [...m.attempts.values()].every(
+        (a) =>
+          a.state === 'running' &&
+          a.stopping === null &&
+          a.runningAt !== null &&
+          now - a.runningAt > 35 * SECOND &&
+          a.job.spec.shape === 'array' &&
+          a.job.spec.checkpointUs > 0,
+      );
+      const longest = Math.max(...[...m.attempts.values()].map((a) => this.remaining(a)));
+      if (movable && longest > 30 * SECOND && this.fitsElsewhere(m)) best = { m, share };
+    }
+    if (best === null) return;
+    const { m } = best;
+    this.ctx.info('machine.consolidate', { machine: m.name, tasks: m.attempts.size });
+    m.retiring = 'consolidated';
+    for (const a of [...m.attempts.values()]) this.stopAttempt(a, a.job.spec.saveUs + SECOND);
+    this.retireWhenEmpty(m, 'consolidated', now + 20 * SECOND);
+  }
+
+  /** Whether everything on a machine has room on fuller ones. */
+  private fitsElsewhere(m: Machine): boolean {
+    const rooms: { machine: Machine; free: ReturnType<Machine['freeOf']> }[] = [];
+    for (const o of this.machinesByName.values()) {
+      const type = this.ctx.types.get(o.type);
+      if (o === m || type === undefined || !o.usable() || o.attempts.size < m.attempts.size) continue;
+      rooms.push({ machine: o, free: o.freeOf(type) });
+    }
+    for (const a of m.attempts.values()) {
+      const { spec } = a.job;
+      const r = rooms.find(
+        (x) => placeAllowed(spec, x.machine.type, x.machine.zone, x.machine.spot) && fits(spec, x.free),
+      );
+      if (r === undefined) return false;
+      r.free.cores -= spec.cores;
+      r.free.gpus -= spec.gpus;
+      r.free.memoryGb -= spec.memoryGb;
+    }
+    return true;
+  }
+
   /** Starts what the plan starts now. Room, zone and kind are checked again against the newest picture. */
   private act(job: ActiveJob, steps: readonly Step[]): void {
     const { now } = this.ctx;
@@ -1154,6 +1343,7 @@
         this.writer.write({ kind: 'put', key: TIMINGS, value });
     }
     if (this.sweeps % 4 === 0 || this.planAgain) this.planSoon();
+    if (this.sweeps % 6 === 0 && entitled) this.consolidate();
     if (this.sweeps % 20 === 0) this.summarise();
   }
 
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -6,7 +6,7 @@
  */
 import type { JobSpec, MachineType, Micros } from './model.js';
 import type { Amounts } from './room.js';
-import { addTo, fits, placeAllowed, spreadLimit, takeFrom, timesFits } from './room.js';
+import { fits, placeAllowed, spreadLimit, takeFrom, timesFits } from './room.js';
 
 /** Room that changes at a later time: what ends gives room, what is planned takes it. */
 interface Change extends Amounts {
@@ -53,6 +53,8 @@
   readonly margin: Micros;
   /** No real work: room kept for arrivals. */
   readonly phantom: boolean;
+  /** Predicted run times by type, filled in as they are asked for. */
+  readonly runs: Map<string, Micros>;
 }
 
 /** `count` tasks of a group begin on a slot at a time. */
@@ -94,32 +96,49 @@
     ? 0
     : Math.round((spec.imageGb / s.type.fetchGbPerS) * 1e6);
 
-const duration = (p: Picture, g: Group, s: { type: MachineType; slow: number }): Micros =>
-  g.spec.shape === 'service' ? FOREVER : Math.round(p.predictor.runTime(g.spec, s.type, g.credit) * s.slow);
+const duration = (p: Picture, g: Group, s: { type: MachineType; slow: number }): Micros => {
+  if (g.spec.shape === 'service') return FOREVER;
+  let run = g.runs.get(s.type.name);
+  if (run === undefined) {
+    run = p.predictor.runTime(g.spec, s.type, g.credit);
+    g.runs.set(s.type.name, run);
+  }
+  return Math.round(run * s.slow);
+};
 
 /** The first time from which `need` fits for all of `length`; the room then is left in `room`. */
 const earliest = (s: Slot, need: Amounts, length: Micros, room: Amounts): Micros | null => {
-  const starts: Micros[] = [s.ready];
-  for (const c of s.changes) if (c.at > s.ready && c.cores + c.gpus + c.memoryGb > 0) starts.push(c.at);
-  for (const t of starts) {
-    room.cores = s.free.cores;
-    room.gpus = s.free.gpus;
-    room.memoryGb = s.free.memoryGb;
-    const least = room;
-    let i = 0;
-    for (; i < s.changes.length && s.changes[i]!.at <= t; i++) addTo(least, s.changes[i]!);
-    if (!fits(need, least)) continue;
-    let { cores, gpus, memoryGb } = least;
-    let ok = true;
-    for (; i < s.changes.length && s.changes[i]!.at < t + length; i++) {
-      const c = s.changes[i]!;
+  const { changes } = s;
+  let { cores, gpus, memoryGb } = s.free;
+  // Room at a start time is that of all changes up to it; then the least over the length must fit.
+  for (let first = -1; first < changes.length; first++) {
+    let t = s.ready;
+    if (first >= 0) {
+      const c = changes[first]!;
       cores += c.cores;
       gpus += c.gpus;
       memoryGb += c.memoryGb;
-      least.cores = Math.min(least.cores, cores);
-      least.gpus = Math.min(least.gpus, gpus);
-      least.memoryGb = Math.min(least.memoryGb, memoryGb);
-      if (!fits(need, least)) {
+      if (c.at > t) t = c.at;
+    }
+    const next = changes[first + 1];
+    if (next !== undefined && next.at <= t) continue;
+    room.cores = cores;
+    room.gpus = gpus;
+    room.memoryGb = memoryGb;
+    if (!fits(need, room)) continue;
+    let ok = true;
+    let c = cores;
+    let g = gpus;
+    let m = memoryGb;
+    for (let i = first + 1; i < changes.length && changes[i]!.at < t + length; i++) {
+      const x = changes[i]!;
+      c += x.cores;
+      g += x.gpus;
+      m += x.memoryGb;
+      if (c < room.cores) room.cores = c;
+      if (g < room.gpus) room.gpus = g;
+      if (m < room.memoryGb) room.memoryGb = m;
+      if (!fits(need, room)) {
         ok = false;
         break;
       }
@@ -148,12 +167,22 @@
   s.used = true;
 };
 
-/** Keeps GPU machines for work that needs GPUs, and full machines full, among near-equal finishes. */
-const waste = (spec: JobSpec, s: Slot): Micros => {
+/** Share of the time by which a task keeps a machine busy for longer that counts against the place. */
+const EXTENSION_WEIGHT = 0.12;
+
+/**
+ * What separates places with near-equal finishes: GPU machines are kept for work that needs GPUs, and
+ * a task had better go where the machine is busy for as long anyway, so that others become empty and
+ * can be returned.
+ */
+const waste = (spec: JobSpec, s: Slot, finish: Micros): Micros => {
   let w = 0;
   if (spec.gpus === 0 && s.type.gpus > 0) w += 8_000_000;
+  const busyUntil = s.changes.at(-1)?.at ?? s.ready;
+  if (spec.shape !== 'service')
+    w += Math.round(EXTENSION_WEIGHT * Math.max(0, finish - Math.max(busyUntil, s.ready)));
   const share = s.type.gpus > 0 ? s.free.gpus / s.type.gpus : s.free.cores / s.type.cores;
-  w += Math.round(2_000_000 * Math.max(0, Math.min(1, share)));
+  w += Math.round(4_000_000 * Math.max(0, Math.min(1, share)));
   if (s.spot) w += 500_000;
   return w;
 };
@@ -186,43 +215,53 @@
 const perTask = (spec: JobSpec, r: Rentable): number =>
   (r.spot ? r.type.spotPrice : r.type.price) / Math.max(1, timesFits(spec, r.type));
 
-/** Where `g`'s tasks could go, each with its predicted finish. */
-const options = (p: Picture, g: Group, zone: string | null): Option[] => {
+/** Looks at every place where `g`'s tasks could go, each with its predicted finish. */
+const eachOption = (
+  p: Picture,
+  g: Group,
+  zoneAllowed: (zone: string) => boolean,
+  /** Called with a place only if its rank is below the bound that the last call returned. */
+  visit: (o: Option) => Micros,
+): void => {
   const { spec } = g;
-  const out: Option[] = [];
   const room: Amounts = { cores: 0, gpus: 0, memoryGb: 0 };
+  let bound = Infinity;
   const consider = (s: Slot, rentable: Rentable | null, extra: Micros): void => {
-    if (zone !== null && s.zone !== zone) return;
     const fetch = fetchTime(spec, s);
     const length = fetch + duration(p, g, s);
+    if (s.ready + length + extra >= bound) return;
     const start = earliest(s, spec, length, room);
     if (start === null) return;
     const avoid = s.machine !== null && g.avoid.has(s.machine) ? 60_000_000 : 0;
-    out.push({
-      slot: s,
-      rentable,
-      start,
-      finish: start + length,
-      count: Math.max(1, timesFits(spec, room)),
-      rank: start + length + waste(spec, s) + extra + avoid,
-      warm: fetch === 0,
-    });
+    const finish = start + length;
+    const rank = finish + waste(spec, s, finish) + extra + avoid;
+    if (rank >= bound) return;
+    const count = Math.max(1, timesFits(spec, room));
+    bound = visit({ slot: s, rentable, start, finish, count, rank, warm: fetch === 0 });
   };
   for (const s of p.slots) {
     if (!placeAllowed(spec, s.type.name, s.zone, s.spot) || !fits(spec, s.type)) continue;
-    consider(s, null, 0);
+    if (zoneAllowed(s.zone)) consider(s, null, 0);
   }
   let cheapest = Infinity;
-  const allowed = p.rentable.filter((r) => {
-    if (!placeAllowed(spec, r.type.name, r.zone, r.spot) || !fits(spec, r.type)) return false;
-    cheapest = Math.min(cheapest, perTask(spec, r));
-    return (p.rented.get(r) ?? 0) < r.limit;
-  });
-  for (const r of allowed) {
+  for (const r of p.rentable)
+    if (placeAllowed(spec, r.type.name, r.zone, r.spot) && fits(spec, r.type))
+      cheapest = Math.min(cheapest, perTask(spec, r));
+  for (const r of p.rentable) {
+    if (!placeAllowed(spec, r.type.name, r.zone, r.spot) || !fits(spec, r.type)) continue;
+    if ((p.rented.get(r) ?? 0) >= r.limit || !zoneAllowed(r.zone)) continue;
     const dearer = cheapest > 0 ? Math.min(6, perTask(spec, r) / cheapest) : 1;
     consider(virtualSlot(p, r), r, Math.round(g.margin * dearer));
   }
-  return out;
+};
+
+const bestOption = (p: Picture, g: Group, zoneAllowed: (zone: string) => boolean): Option | null => {
+  let b: Option | null = null;
+  eachOption(p, g, zoneAllowed, (o) => {
+    b = o;
+    return o.rank;
+  });
+  return b;
 };
 
 const realise = (p: Picture, o: Option): Slot => {
@@ -232,12 +271,6 @@
   return o.slot;
 };
 
-const best = (all: readonly Option[]): Option | null => {
-  let b: Option | null = null;
-  for (const o of all) if (b === null || o.rank < b.rank) b = o;
-  return b;
-};
-
 /** Zones a job may still use: one already taken binds a job that must stay in one zone. */
 const zoneChoices = (p: Picture, g: Group): (string | null)[] => {
   if (!g.spec.sameZone) return [null];
@@ -259,7 +292,7 @@
   let left = g.count;
   let forced = first;
   while (left > 0) {
-    const o = forced ?? best(options(p, g, zone).filter((x) => zoneRoom(g, used, x.slot.zone) >= 1));
+    const o = forced ?? bestOption(p, g, (z) => (zone === null || z === zone) && zoneRoom(g, used, z) >= 1);
     forced = null;
     if (o === null) return null;
     const slot = realise(p, o);
@@ -306,7 +339,10 @@
 export const placeGroup = (p: Picture, g: Group, first: Option | null = null): Step[] | null => {
   const zones = zoneChoices(p, g);
   let chosen: { picture: Picture; steps: Step[]; rank: number } | null = null;
-  if (zones.length === 1 && g.spec.shape !== 'gang') return placeTasks(p, g, zones[0]!, first);
+  if (zones.length === 1) {
+    const steps = placeTasks(p, g, zones[0]!, first);
+    return steps !== null && g.spec.shape === 'gang' ? asGang(steps) : steps;
+  }
   for (const zone of zones) {
     if (first !== null && zone !== null && first.slot.zone !== zone) continue;
     const trial = copyPicture(p);
@@ -379,12 +415,36 @@
   readonly fellBack: boolean;
 }
 
-/** For one group: the best option whose image is there and the best whose is not, or that boots. */
+/**
+ * For one group: the best place whose image is there and the best whose is not, or that boots. None if
+ * the group can't begin now: a gang needs room for all its members.
+ */
 const firstOptions = (p: Picture, g: Group): Option[] => {
-  const all = zoneChoices(p, g).flatMap((z) => options(p, g, z));
-  const warm = best(all.filter((o) => o.warm && o.start <= p.now));
-  const cold = best(all.filter((o) => !(o.warm && o.start <= p.now)));
-  return [warm, cold].filter((o): o is Option => o !== null);
+  const out: Option[] = [];
+  for (const z of zoneChoices(p, g)) {
+    const found: { warm: Option | null; cold: Option | null; room: number } = {
+      warm: null,
+      cold: null,
+      room: 0,
+    };
+    eachOption(
+      p,
+      g,
+      (zone) => z === null || z === zone,
+      (o) => {
+        const now = o.start <= p.now;
+        if (now) found.room += o.count;
+        if (o.warm && now) {
+          if (found.warm === null || o.rank < found.warm.rank) found.warm = o;
+        } else if (found.cold === null || o.rank < found.cold.rank) found.cold = o;
+        return Infinity;
+      },
+    );
+    if (found.room < (g.spec.shape === 'gang' ? g.count : 1)) continue;
+    if (found.warm !== null) out.push(found.warm);
+    if (found.cold !== null) out.push(found.cold);
+  }
+  return out;
 };
 
 /**
@@ -405,11 +465,17 @@
   let fellBack = false;
   while (left.length > 0) {
     const represented = left.slice(0, limits.depth);
-    const shortlist = represented.slice(0, limits.width);
     let chosen: { group: Group; option: Option; score: Score } | null = null;
-    const candidates = shortlist.flatMap((group) =>
-      firstOptions(p, group).map((option) => ({ group, option })),
-    );
+    const candidates: { group: Group; option: Option }[] = [];
+    let listed = 0;
+    for (const group of represented) {
+      const places = firstOptions(p, group);
+      for (const option of places) candidates.push({ group, option });
+      if (places.length > 0) listed++;
+      if (listed >= limits.width) break;
+    }
+    // Nothing can begin now: there is no first action to choose, only what to wait for and to rent.
+    if (candidates.length === 0) break;
     // One candidate, or one group with one place to go: nothing to compare.
     if (candidates.length > 1 && represented.length > 1) {
       for (const { group, option } of candidates) {
@@ -435,7 +501,7 @@
           chosen = { group, option, score };
       }
     } else if (candidates.length > 0 && represented.length === 1) {
-      const one = best(candidates.map((c) => c.option))!;
+      const one = candidates.map((c) => c.option).reduce((a, b) => (b.rank < a.rank ? b : a));
       chosen = { group: represented[0]!, option: one, score: { makespan: 0, sum: 0, unplaced: 0 } };
     }
     if (fellBack) break;
--- a/src/core/teams.ts
+++ b/src/core/teams.ts
@@ -26,35 +26,42 @@
   }
 }
 
+/** Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs. */
+export const guaranteedJobs = (jobs: readonly ActiveJob[], teams: readonly Team[]): Set<ActiveJob> => {
+  const inside = new Set<ActiveJob>();
+  const taken = new Map<string, { cores: number; gpus: number }>();
+  const byAge = jobs.filter((j) => j.phase === 'active').sort((a, b) => a.at - b.at);
+  for (const job of byAge) {
+    const { team: name, tasks, cores, gpus } = job.spec;
+    const team = teams.find((t) => t.name === name);
+    if (team === undefined || (team.cores <= 0 && team.gpus <= 0)) continue;
+    const t = taken.get(name) ?? { cores: 0, gpus: 0 };
+    t.cores += cores * tasks;
+    t.gpus += gpus * tasks;
+    taken.set(name, t);
+    if (t.cores <= team.cores + 1e-6 && t.gpus <= team.gpus + 1e-6) inside.add(job);
+  }
+  return inside;
+};
+
 /**
- * Jobs in the order of turns: by priority, then, in rounds, each team's oldest. Within a round, jobs
- * inside their team's guarantee come first: they need not wait on other teams' borrowing.
+ * Jobs in the order of turns: inside their team's guarantee first, for they need not wait on other
+ * teams' borrowing; then by priority; then, in rounds, each team's oldest.
  */
 export const turnOrder = (jobs: readonly ActiveJob[], teams: readonly Team[]): ActiveJob[] => {
+  const inside = guaranteedJobs(jobs, teams);
   const byAge = [...jobs].sort((a, b) => a.at - b.at || (a.id < b.id ? -1 : 1));
   const rounds = new Map<string, number>();
-  const taken = new Map<string, { cores: number; gpus: number }>();
   const rows = byAge.map((job) => {
-    const { team: name, priority, tasks, cores, gpus } = job.spec;
-    const key = `${priority}|${name}`;
+    const key = `${job.spec.priority}|${job.spec.team}`;
     const round = rounds.get(key) ?? 0;
     rounds.set(key, round + 1);
-    const team = teams.find((t) => t.name === name);
-    const t = taken.get(name) ?? { cores: 0, gpus: 0 };
-    t.cores += cores * tasks;
-    t.gpus += gpus * tasks;
-    taken.set(name, t);
-    const within =
-      team !== undefined &&
-      (team.cores > 0 || team.gpus > 0) &&
-      t.cores <= team.cores + 1e-6 &&
-      t.gpus <= team.gpus + 1e-6;
-    return { job, priority, round, within };
+    return { job, round, within: inside.has(job) };
   });
   rows.sort(
     (a, b) =>
       Number(b.within) - Number(a.within) ||
-      b.priority - a.priority ||
+      b.job.spec.priority - a.job.spec.priority ||
       a.round - b.round ||
       a.job.at - b.job.at,
   );
