--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,70 @@
+/** Whole services in simulated time: seeded troubles, with the protocol's rules as invariants. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SECOND, type JobSpec } from '../src/core/model.js';
+import { Random, specOf, World } from './world.js';
+
+const shapes = (r: Random, id: string): JobSpec => {
+  const pick = r.below(5);
+  if (pick === 0)
+    return specOf(id, { shape: 'gang', tasks: 1 + r.below(3), sameZone: true, estimateUs: 8 * SECOND });
+  if (pick === 1) return specOf(id, { tasks: 4, spread: true });
+  if (pick === 2) return specOf(id, { tasks: 3, sameZone: true, cores: 2 });
+  if (pick === 3) return specOf(id, { tasks: 2, zone: 'b', spot: true, priority: 0 });
+  return specOf(id, { tasks: 1 + r.below(6), estimateUs: (4 + r.below(20)) * SECOND });
+};
+
+test('a quiet service does what it is asked to', () => {
+  const w = new World(new Random(1));
+  w.runFor(3 * SECOND);
+  w.submit(specOf('run-1', { tasks: 5 }));
+  w.submit(specOf('run-2', { shape: 'gang', tasks: 3, sameZone: true }));
+  w.submit(specOf('run-3', { shape: 'service', tasks: 2 }));
+  w.runFor(80 * SECOND);
+  w.cancel('run-3');
+  w.runFor(45 * SECOND);
+  for (const id of ['run-1', 'run-2', 'run-3']) w.poll(id);
+  w.runFor(SECOND);
+  assert.deepEqual(w.broken, []);
+  assert.equal(w.stageOf('run-1'), 'done');
+  assert.equal(w.stageOf('run-2'), 'done');
+  assert.equal(w.stageOf('run-3'), 'cancelled');
+});
+
+test('no rule breaks under crashes, outages, cuts and lost or late messages, and all work ends', () => {
+  for (let seed = 1; seed <= 14; seed++) {
+    const r = new Random(seed * 7919);
+    const w = new World(r);
+    w.runFor(2 * SECOND);
+    const ids: string[] = [];
+    for (let step = 0; step < 30; step++) {
+      w.loss = r.chance(0.3) ? 0.25 : 0.03;
+      if (r.chance(0.6) && ids.length < 14) {
+        const id = `run-${seed}${String(step).padStart(3, '0')}`;
+        ids.push(id);
+        w.submit(shapes(r, id));
+      }
+      if (r.chance(0.2)) w.crash(r.below(3), (2 + r.below(6)) * SECOND);
+      if (r.chance(0.05)) for (const i of [0, 1, 2]) w.crash(i, (2 + r.below(4)) * SECOND);
+      if (r.chance(0.08)) w.stateOutage((2 + r.below(14)) * SECOND);
+      const worker = w.anyWorker();
+      if (worker !== undefined && r.chance(0.15)) worker.cutUntil = w.now + (4 + r.below(30)) * SECOND;
+      if (worker !== undefined && r.chance(0.08)) w.killWorker(worker);
+      const some = ids[r.below(Math.max(1, ids.length))];
+      if (some !== undefined && r.chance(0.12)) w.cancel(some);
+      for (const id of ids) if (r.chance(0.4)) w.poll(id);
+      w.runFor((1 + r.below(6)) * SECOND);
+    }
+    w.loss = 0;
+    w.runFor(240 * SECOND);
+    for (const id of ids) w.poll(id);
+    w.runFor(2 * SECOND);
+    assert.deepEqual([...new Set(w.broken)].slice(0, 5), [], `seed ${seed}`);
+    assert.ok(w.starts > 0);
+    for (const id of ids)
+      assert.ok(
+        ['done', 'cancelled'].includes(w.stageOf(id) ?? 'never accepted'),
+        `seed ${seed} ${id}: ${w.stageOf(id)}`,
+      );
+  }
+});
--- /dev/null
+++ b/test/world.ts
@@ -0,0 +1,849 @@
+/**
+ * Stand-ins for state service, cloud and workers, in simulated time, round any number of cores. They keep
+ * the rules as invariants: whatever breaks one is collected in `broken`.
+ */
+import { Core } from '../src/core/core.js';
+import type {
+  CloudOp,
+  CloudReply,
+  CoreEffect,
+  Input,
+  Item,
+  JobSpec,
+  MachineType,
+  Micros,
+  Order,
+  OrdersReply,
+  Report,
+  ReportedTask,
+  Settings,
+  StateEvent,
+  StateOp,
+  StateReply,
+  UserAnswer,
+} from '../src/core/model.js';
+import { MILLI, SECOND } from '../src/core/model.js';
+import { parseSettings } from '../src/settings/settings.js';
+
+/** A small generator of its own, so that a seed always plays the same world. */
+export class Random {
+  constructor(private s: number) {}
+  next(): number {
+    this.s = (Math.imul(this.s ^ (this.s >>> 15), 0x2c1b3c6d) + 0x9e3779b9) | 0;
+    let t = this.s ^ (this.s >>> 12);
+    t = Math.imul(t, 0x297a2d39);
+    return ((t ^ (t >>> 15)) >>> 0) / 2 ** 32;
+  }
+  below(n: number): number {
+    return Math.floor(this.next() * n);
+  }
+  chance(p: number): boolean {
+    return this.next() < p;
+  }
+}
+
+export const settingsFor = (member: string, all: readonly string[], teams: string): Settings => {
+  const peers = all
+    .filter((m) => m !== member)
+    .map((m, i) => `[[peers]]\nmember = "${m}"\nsite = "z"\naddress = "10.0.0.${i + 2}:81"\n`)
+    .join('');
+  return parseSettings(
+    `member = "${member}"\nsite = "z"\nlisten = "10.0.0.1:80"\ncluster_listen = "10.0.0.1:81"\n${peers}
+[endpoints]\ncloud = "10.2.0.2:84"\nstate = "10.2.0.1:23"\n[cluster]\n${teams}
+[cluster.workers]\nreport_s = 3.0\nlease_s = 20.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 40.0
+[cluster.state]\nrps = 100.0\nwrite_rps = 50.0\nvalue_kb = 16.0\ntxn_ops = 16
+[cluster.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n`,
+    null,
+  );
+};
+
+export const TYPE: MachineType = {
+  name: 'box',
+  cores: 4,
+  gpus: 0,
+  memoryGb: 16,
+  cacheGb: 20,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 0.4,
+  bootUs: 10 * SECOND,
+  zones: ['a', 'b'],
+};
+
+export const specOf = (id: string, more: Partial<JobSpec> = {}): JobSpec => ({
+  id,
+  class: 'c',
+  team: 't',
+  shape: 'array',
+  priority: 1,
+  tasks: 2,
+  cores: 1,
+  gpus: 0,
+  memoryGb: 1,
+  image: 'img',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  sameZone: false,
+  spread: false,
+  spot: false,
+  estimateUs: 10 * SECOND,
+  checkpointUs: 0,
+  saveUs: 0,
+  deadlineUs: null,
+  ...more,
+});
+
+interface SimTask {
+  job: string;
+  index: number;
+  attempt: number;
+  state: ReportedTask['state'];
+  cause: ReportedTask['cause'];
+  saved: boolean;
+  /** When the state changes by itself. */
+  until: Micros;
+}
+
+interface Worker {
+  name: string;
+  zone: string;
+  spot: boolean;
+  upAt: Micros;
+  alive: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  answered: Micros;
+  node: number;
+  nextReport: Micros;
+  tasks: SimTask[];
+  /** Hangs or is cut off until then. */
+  cutUntil: Micros;
+}
+
+interface SimNode {
+  name: string;
+  core: Core | null;
+  life: number;
+  wake: Micros | null;
+  startAt: Micros;
+}
+
+interface Planned {
+  at: Micros;
+  order: number;
+  run: () => void;
+}
+
+export interface Told {
+  stage: string;
+  at: Micros;
+}
+
+export class World {
+  now: Micros = 0;
+  readonly broken: string[] = [];
+  readonly nodes: SimNode[];
+  readonly workers = new Map<string, Worker>();
+  readonly specs = new Map<string, JobSpec>();
+  readonly told = new Map<string, Told>();
+  /** The moment at which the user was told that the job is cancelled. */
+  readonly cancelledAt = new Map<string, Micros>();
+  readonly completed = new Map<string, Set<number>>();
+  /** Chance that a call's answer is lost, and that the call is only carried out later. */
+  loss = 0;
+  stateDownUntil: Micros = 0;
+  cloudDownUntil: Micros = 0;
+  starts = 0;
+
+  private readonly kv = new Map<string, Item>();
+  private readonly leases = new Map<number, { ttl: Micros; ends: Micros }>();
+  private readonly history: StateEvent[] = [];
+  private watches: { prefix: string; after: number; until: Micros; reply: (r: StateReply) => void }[] = [];
+  private revision = 1;
+  private nextLease = 1;
+  private queue: Planned[] = [];
+  private order = 0;
+  private nextMachine = 1;
+  private readonly bookings = new Map<string, string[]>();
+  private nextRequest = 1;
+  private readonly asking = new Map<string, (a: UserAnswer) => void>();
+
+  constructor(
+    readonly random: Random,
+    count = 3,
+    readonly teams = '[[cluster.teams]]\nname = "t"\ncpus_max = 10.0\n',
+    readonly limitCores = 10,
+  ) {
+    const names = Array.from({ length: count }, (_, i) => `n${i}`);
+    this.nodes = names.map((name) => ({ name, core: null, life: 0, wake: null, startAt: 0 }));
+    for (const n of this.nodes) this.boot(n);
+  }
+
+  private plan(delay: Micros, run: () => void): void {
+    this.queue.push({ at: this.now + Math.max(1, Math.round(delay)), order: this.order++, run });
+  }
+
+  // ---- nodes -------------------------------------------------------------------------------------
+
+  private boot(n: SimNode): void {
+    n.life++;
+    n.startAt = this.now;
+    n.core = new Core(
+      settingsFor(
+        n.name,
+        this.nodes.map((x) => x.name),
+        this.teams,
+      ),
+      () => 0,
+    );
+    this.feed(n, { kind: 'start', wallUs: this.now });
+  }
+
+  crash(i: number, downFor: Micros): void {
+    const n = this.nodes[i]!;
+    if (n.core === null) return;
+    n.core = null;
+    n.life++;
+    n.wake = null;
+    this.plan(downFor, () => {
+      this.boot(n);
+    });
+  }
+
+  private feed(n: SimNode, input: Input): void {
+    if (n.core === null) return;
+    const { life } = n;
+    for (const e of n.core.step(this.now - n.startAt + 1, input)) this.perform(n, life, e);
+  }
+
+  private perform(n: SimNode, life: number, e: CoreEffect): void {
+    const back = (input: Input): void => {
+      if (n.life === life) this.feed(n, input);
+    };
+    switch (e.kind) {
+      case 'state':
+        this.carry(
+          () => this.stateNow(e.op),
+          (r) => {
+            back({ kind: 'state', call: e.call, reply: r });
+          },
+          { kind: 'failed', executed: null, reason: 'lost' },
+          e.op.kind === 'watch' ? e.op : null,
+        );
+        return;
+      case 'cloud':
+        this.carry<CloudReply>(
+          () => this.cloudNow(e.op),
+          (r) => {
+            back({ kind: 'cloud', call: e.call, reply: r });
+          },
+          { kind: 'failed', reason: 'lost' },
+          null,
+        );
+        return;
+      case 'orders':
+        this.carryOrders(e, (r) => {
+          back({ kind: 'orders', call: e.call, reply: r });
+        });
+        return;
+      case 'answerUser':
+        this.asking.get(`${n.name}/${life}/${e.request}`)?.(e.answer);
+        return;
+      case 'answerWorker': {
+        const reply = this.reporting.get(`${n.name}/${life}/${e.request}`);
+        reply?.(e.answer);
+        return;
+      }
+      case 'wake':
+        n.wake = e.at + n.startAt - 1;
+        return;
+      case 'log':
+        if (e.level === 'error') this.broken.push(`error logged: ${e.event} ${JSON.stringify(e.fields)}`);
+        return;
+      case 'peer':
+      case 'role':
+        return;
+    }
+  }
+
+  /** A call there and back, either of which may be lost; a lost call may still be carried out much later. */
+  private carry<R>(
+    run: () => R,
+    reply: (r: R) => void,
+    lost: R,
+    watch: (StateOp & { kind: 'watch' }) | null,
+  ): void {
+    const fate = this.random.next();
+    if (watch !== null) {
+      this.plan(3 * MILLI, () => {
+        this.openWatch(watch, reply as (r: StateReply) => void);
+      });
+      return;
+    }
+    if (fate < this.loss / 3) {
+      this.plan(this.random.below(30) * SECOND, () => {
+        run();
+      });
+      this.plan(1200 * MILLI, () => {
+        reply(lost);
+      });
+    } else if (fate < (this.loss * 2) / 3) {
+      this.plan(3 * MILLI, () => {
+        run();
+      });
+      this.plan(1200 * MILLI, () => {
+        reply(lost);
+      });
+    } else if (fate < this.loss)
+      this.plan(1200 * MILLI, () => {
+        reply(lost);
+      });
+    else
+      this.plan((2 + this.random.below(6)) * MILLI, () => {
+        const r = run();
+        this.plan(2 * MILLI, () => {
+          reply(r);
+        });
+      });
+  }
+
+  // ---- state service -----------------------------------------------------------------------------
+
+  private expire(): void {
+    if (this.now < this.stateDownUntil) return;
+    for (const [id, l] of this.leases)
+      if (l.ends <= this.now) {
+        this.leases.delete(id);
+        this.dropLease(id);
+      }
+  }
+
+  private dropLease(id: number): void {
+    for (const [key, it] of this.kv)
+      if (it.lease === id) {
+        this.revision++;
+        this.kv.delete(key);
+        this.note({ kind: 'delete', key, version: this.revision });
+      }
+  }
+
+  private note(e: StateEvent): void {
+    this.history.push(e);
+    this.watches = this.watches.filter((w) => {
+      if (!e.key.startsWith(w.prefix)) return true;
+      this.plan(2 * MILLI, () => {
+        w.reply(this.eventsFor(w.prefix, w.after));
+      });
+      return false;
+    });
+  }
+
+  private eventsFor(prefix: string, after: number): StateReply {
+    return {
+      kind: 'events',
+      events: this.history.filter((h) => h.version > after && h.key.startsWith(prefix)),
+      revision: this.revision,
+    };
+  }
+
+  private openWatch(op: StateOp & { kind: 'watch' }, reply: (r: StateReply) => void): void {
+    if (this.now < this.stateDownUntil) {
+      reply({ kind: 'failed', executed: false, reason: '503' });
+      return;
+    }
+    const r = this.eventsFor(op.prefix, op.after);
+    if (r.kind === 'events' && r.events.length > 0) reply(r);
+    else
+      this.watches.push({ prefix: op.prefix, after: op.after, until: this.now + op.waitMs * MILLI, reply });
+  }
+
+  stateOutage(length: Micros): void {
+    this.stateDownUntil = this.now + length;
+    for (const l of this.leases.values()) l.ends = this.stateDownUntil + l.ttl;
+  }
+
+  private stateNow(op: StateOp): StateReply {
+    if (this.now < this.stateDownUntil) return { kind: 'failed', executed: false, reason: '503' };
+    this.expire();
+    switch (op.kind) {
+      case 'get': {
+        const item = this.kv.get(op.key);
+        return item === undefined ? { kind: 'missing', revision: this.revision } : { kind: 'item', item };
+      }
+      case 'list': {
+        const items = [...this.kv.values()]
+          .filter((i) => i.key.startsWith(op.prefix) && (op.after === undefined || i.key > op.after))
+          .sort((a, b) => (a.key < b.key ? -1 : 1));
+        return {
+          kind: 'items',
+          items: items.slice(0, op.limit),
+          more: items.length > op.limit,
+          revision: this.revision,
+        };
+      }
+      case 'txn': {
+        for (const w of op.writes)
+          if (w.kind === 'put' && w.lease !== undefined && !this.leases.has(w.lease))
+            return { kind: 'noLease' };
+        const failed = op.conditions
+          .filter((c) => (this.kv.get(c.key)?.version ?? 0) !== c.version)
+          .map((c) => c.key);
+        if (failed.length > 0) return { kind: 'conflict', failed, revision: this.revision };
+        if (op.writes.length === 0) return { kind: 'ok', revision: this.revision };
+        this.revision++;
+        for (const w of op.writes) {
+          if (w.kind === 'put') {
+            const value = structuredClone(w.value);
+            this.kv.set(w.key, { key: w.key, value, version: this.revision, lease: w.lease ?? null });
+            this.note({ kind: 'put', key: w.key, value, version: this.revision });
+          } else if (this.kv.delete(w.key)) this.note({ kind: 'delete', key: w.key, version: this.revision });
+        }
+        return { kind: 'ok', revision: this.revision };
+      }
+      case 'grant': {
+        const lease = this.nextLease++;
+        this.leases.set(lease, { ttl: op.ttlMs * MILLI, ends: this.now + op.ttlMs * MILLI });
+        return { kind: 'granted', lease };
+      }
+      case 'renew': {
+        const l = this.leases.get(op.lease);
+        if (l === undefined) return { kind: 'noLease' };
+        l.ends = this.now + l.ttl;
+        return { kind: 'ok', revision: 0 };
+      }
+      case 'revoke':
+        if (!this.leases.delete(op.lease)) return { kind: 'noLease' };
+        this.dropLease(op.lease);
+        return { kind: 'ok', revision: 0 };
+      case 'watch':
+        return { kind: 'tooOld' };
+    }
+  }
+
+  // ---- cloud -------------------------------------------------------------------------------------
+
+  private cloudNow(op: CloudOp): CloudReply {
+    if (this.now < this.cloudDownUntil) return { kind: 'failed', reason: 'trouble' };
+    switch (op.kind) {
+      case 'types':
+        return { kind: 'types', types: [TYPE] };
+      case 'rent': {
+        const old = this.bookings.get(op.request);
+        if (old !== undefined) return { kind: 'rented', machines: old };
+        const alive = [...this.workers.values()].filter((w) => w.alive && w.zone === op.zone).length;
+        const count = Math.min(op.count, 4 - alive);
+        if (count <= 0) return { kind: 'noCapacity' };
+        const names = Array.from({ length: count }, () => this.addWorker(op.zone, op.spot));
+        this.bookings.set(op.request, names);
+        return { kind: 'rented', machines: names };
+      }
+      case 'delete':
+        for (const name of op.machines) {
+          const w = this.workers.get(name);
+          if (w !== undefined) this.killWorker(w);
+        }
+        return { kind: 'deleted' };
+      case 'list':
+        return {
+          kind: 'listed',
+          more: false,
+          machines: [...this.workers.values()]
+            .filter((w) => w.alive)
+            .map((w) => ({
+              name: w.name,
+              address: w.name,
+              type: TYPE.name,
+              zone: w.zone,
+              spot: w.spot,
+              state: this.now >= w.upAt ? ('running' as const) : ('booting' as const),
+              ageUs: 0,
+            })),
+        };
+    }
+  }
+
+  private addWorker(zone: string, spot: boolean): string {
+    const name = `m-${String(this.nextMachine++).padStart(6, '0')}`;
+    const upAt = this.now + TYPE.bootUs * (0.6 + 0.9 * this.random.next());
+    this.workers.set(name, {
+      name,
+      zone,
+      spot,
+      upAt,
+      alive: true,
+      session: 1,
+      seq: 0,
+      token: 0,
+      answered: upAt,
+      node: this.random.below(this.nodes.length),
+      nextReport: upAt,
+      tasks: [],
+      cutUntil: 0,
+    });
+    return name;
+  }
+
+  killWorker(w: Worker): void {
+    w.alive = false;
+    w.tasks = [];
+  }
+
+  anyWorker(): Worker | undefined {
+    const up = [...this.workers.values()].filter((w) => w.alive && this.now >= w.upAt);
+    return up[this.random.below(Math.max(1, up.length))];
+  }
+
+  // ---- workers -----------------------------------------------------------------------------------
+
+  private readonly reporting = new Map<string, (a: import('../src/core/model.js').WorkerAnswer) => void>();
+
+  private reportOf(w: Worker): Report {
+    return {
+      machine: w.name,
+      address: w.name,
+      type: TYPE.name,
+      zone: w.zone,
+      spot: w.spot,
+      session: w.session,
+      seq: ++w.seq,
+      token: w.token,
+      noticeUs: null,
+      tasks: w.tasks.map(({ job, index, attempt, state, cause, saved }) => ({
+        job,
+        index,
+        attempt,
+        state,
+        cause,
+        saved,
+      })),
+    };
+  }
+
+  private report(w: Worker): void {
+    const sent = this.now;
+    w.nextReport = this.now + 3 * SECOND;
+    const n = this.nodes[w.node]!;
+    const next = (): void => {
+      w.node = (w.node + 1) % this.nodes.length;
+      w.nextReport = this.now + SECOND;
+    };
+    if (n.core === null) {
+      next();
+      return;
+    }
+    const report = this.reportOf(w);
+    const { session } = w;
+    const request = this.nextRequest++;
+    const life = n.life;
+    const lostThere = this.random.chance(this.loss / 2);
+    const lostBack = this.random.chance(this.loss / 2);
+    const deliver = (): void => {
+      if (n.life === life) this.feed(n, { kind: 'report', request, report });
+    };
+    this.reporting.set(`${n.name}/${life}/${request}`, (a) => {
+      this.reporting.delete(`${n.name}/${life}/${request}`);
+      if (lostThere || lostBack || this.now < w.cutUntil) return;
+      this.plan(2 * MILLI, () => {
+        if (!w.alive || w.session !== session || this.now < w.cutUntil) return;
+        if (a.kind === 'accepted') {
+          if (a.token < w.token) return;
+          w.token = a.token;
+          w.answered = sent;
+          for (const o of a.orders) this.execute(w, o);
+        } else if (a.kind === 'redirect') {
+          const to = this.nodes.findIndex((x) => x.name === a.leader);
+          if (to >= 0 && to !== w.node) {
+            w.node = to;
+            w.nextReport = this.now + 100 * MILLI;
+          } else next();
+        } else next();
+      });
+    });
+    // A report that is held back arrives late, as old as it is.
+    this.plan(lostThere ? this.random.below(20) * SECOND : 2 * MILLI, deliver);
+    if (lostThere || lostBack) next();
+  }
+
+  private carryOrders(e: CoreEffect & { kind: 'orders' }, reply: (r: OrdersReply) => void): void {
+    const w = this.workers.get(e.address);
+    const run = (): OrdersReply => {
+      if (w === undefined || !w.alive || this.now < w.upAt) return { kind: 'lost', report: null };
+      if (e.token < w.token || e.session !== w.session) return { kind: 'refused', report: this.reportOf(w) };
+      w.token = e.token;
+      for (const o of e.orders) this.execute(w, o);
+      return { kind: 'executed', report: this.reportOf(w) };
+    };
+    if (w !== undefined && this.now < w.cutUntil) {
+      // Held back by the cut, and delivered when it ends.
+      this.plan(w.cutUntil - this.now, () => {
+        run();
+      });
+      this.plan(2500 * MILLI, () => {
+        reply({ kind: 'lost', report: null });
+      });
+      return;
+    }
+    this.carry(run, reply, { kind: 'lost', report: null }, null);
+  }
+
+  private execute(w: Worker, o: Order): void {
+    const t = w.tasks.find((x) => x.job === o.job && x.index === o.index);
+    if (o.op === 'forget') {
+      w.tasks = w.tasks.filter((x) => x !== t || x.attempt !== o.attempt || x.state !== 'exited');
+      return;
+    }
+    if (o.op === 'stop') {
+      if (t !== undefined && t.attempt === o.attempt && t.state !== 'exited') {
+        t.state = 'exited';
+        t.cause = 'stopped';
+      }
+      return;
+    }
+    if (t !== undefined && t.attempt === o.attempt) return;
+    if (t !== undefined && t.state !== 'exited') {
+      w.tasks.push({ ...o, state: 'exited', cause: 'busy', saved: false, until: 0 });
+      return;
+    }
+    w.tasks = w.tasks.filter((x) => x !== t);
+    this.checkStart(w, o);
+    w.tasks.push({
+      job: o.job,
+      index: o.index,
+      attempt: o.attempt,
+      state: 'fetching',
+      cause: null,
+      saved: false,
+      until: this.now + 500 * MILLI,
+    });
+  }
+
+  /** The rules, checked at the moment of a start. */
+  private checkStart(w: Worker, o: Order & { op: 'start' }): void {
+    this.starts++;
+    const spec = this.specs.get(o.job);
+    if (spec === undefined) {
+      this.broken.push(`start of unknown ${o.job}`);
+      return;
+    }
+    const told = this.cancelledAt.get(o.job);
+    if (told !== undefined && this.now > told + 40 * SECOND) this.broken.push(`ran_cancelled ${o.job}`);
+    let cores = spec.cores;
+    const zones = new Map<string, number>([[w.zone, 1]]);
+    for (const other of this.workers.values()) {
+      if (!other.alive) continue;
+      for (const t of other.tasks) {
+        if (t.state === 'exited') continue;
+        const s = this.specs.get(t.job);
+        if (s?.team === spec.team) cores += s.cores;
+        if (t.job !== o.job) continue;
+        if (t.index === o.index)
+          this.broken.push(`ran_twice ${o.job}/${o.index} on ${w.name} and ${other.name}`);
+        zones.set(other.zone, (zones.get(other.zone) ?? 0) + 1);
+      }
+    }
+    if (cores > this.limitCores) this.broken.push(`quota ${o.job}: ${cores}`);
+    if (spec.sameZone && zones.size > 1) this.broken.push(`wrong_place ${o.job}: zones`);
+    if (spec.spread && (zones.get(w.zone) ?? 0) > Math.ceil(spec.tasks / 2))
+      this.broken.push(`wrong_place ${o.job}: spread`);
+    if ((spec.zone !== null && spec.zone !== w.zone) || (w.spot && !spec.spot))
+      this.broken.push(`wrong_place ${o.job}: ${w.zone}`);
+    const used = w.tasks
+      .filter((t) => t.state !== 'exited')
+      .reduce((n, t) => n + (this.specs.get(t.job)?.cores ?? 0), 0);
+    if (used + spec.cores > TYPE.cores) this.broken.push(`no room on ${w.name}`);
+  }
+
+  private runWorkers(): void {
+    for (const w of this.workers.values()) {
+      if (!w.alive || this.now < w.upAt) continue;
+      if (this.now > w.answered + 20 * SECOND) {
+        w.tasks = [];
+        w.session++;
+        w.seq = 0;
+        w.answered = this.now;
+      }
+      if (this.now < w.cutUntil) continue;
+      let changed = false;
+      for (const t of w.tasks) {
+        if (t.state === 'exited' || this.now < t.until) continue;
+        const spec = this.specs.get(t.job)!;
+        if (t.state === 'fetching') {
+          t.state = spec.shape === 'gang' ? 'waiting' : 'running';
+          t.until = this.now + spec.estimateUs;
+        } else if (t.state === 'running') {
+          t.state = 'exited';
+          t.cause = 'done';
+          this.complete(t);
+        }
+        changed = true;
+      }
+      if (changed) w.nextReport = Math.min(w.nextReport, this.now + 50 * MILLI);
+      if (this.now >= w.nextReport) this.report(w);
+    }
+    this.runGangs();
+  }
+
+  private complete(t: SimTask): void {
+    const set = this.completed.get(t.job) ?? new Set<number>();
+    set.add(t.index);
+    this.completed.set(t.job, set);
+  }
+
+  private runGangs(): void {
+    const gangs = new Map<string, SimTask[]>();
+    for (const w of this.workers.values())
+      if (w.alive)
+        for (const t of w.tasks)
+          if (t.state !== 'exited' && this.specs.get(t.job)?.shape === 'gang') {
+            const key = `${t.job}|${t.attempt}`;
+            gangs.set(key, [...(gangs.get(key) ?? []), t]);
+          }
+    for (const members of gangs.values()) {
+      const spec = this.specs.get(members[0]!.job)!;
+      if (members.length === spec.tasks && members.every((t) => t.state === 'waiting'))
+        for (const t of members) {
+          t.state = 'running';
+          t.until = this.now + spec.estimateUs;
+        }
+      else if (members.length < spec.tasks && !this.completed.has(spec.id))
+        for (const t of members)
+          if (t.state === 'running') {
+            t.state = 'exited';
+            t.cause = 'peers';
+          }
+    }
+  }
+
+  // ---- users -------------------------------------------------------------------------------------
+
+  private ask(i: number, body: Input & { kind: 'user' }, then: (a: UserAnswer | null) => void): void {
+    const n = this.nodes[i]!;
+    if (n.core === null) {
+      then(null);
+      return;
+    }
+    const key = `${n.name}/${n.life}/${body.request}`;
+    let open = true;
+    const finish = (a: UserAnswer | null): void => {
+      if (!open) return;
+      open = false;
+      this.asking.delete(key);
+      then(a);
+    };
+    this.asking.set(key, finish);
+    this.plan(5 * SECOND, () => {
+      finish(null);
+    });
+    this.feed(n, body);
+  }
+
+  /** What any node has told must never be taken back. */
+  private hear(id: string, a: UserAnswer | null): void {
+    if (a?.kind === 'absent' && this.told.has(id)) this.broken.push(`forgotten ${id}`);
+    if (a?.kind !== 'view') return;
+    const before = this.told.get(id)?.stage;
+    const { stage } = a.view;
+    if ((before === 'done' || before === 'cancelled') && stage !== before)
+      this.broken.push(`went_back ${id}: ${before} -> ${stage}`);
+    const spec = this.specs.get(id)!;
+    const completed = this.completed.get(id)?.size ?? 0;
+    if (stage === 'done' && completed < (spec.shape === 'gang' ? 1 : spec.tasks))
+      this.broken.push(`not_done ${id}`);
+    if (stage === 'cancelled' && !this.cancelledAt.has(id)) this.cancelledAt.set(id, this.now);
+    this.told.set(id, { stage, at: this.now });
+  }
+
+  submit(spec: JobSpec, tries = 0): void {
+    this.specs.set(spec.id, spec);
+    this.ask(
+      this.random.below(this.nodes.length),
+      {
+        kind: 'user',
+        request: this.nextRequest++,
+        body: { kind: 'submit', id: spec.id, spec, problem: null },
+        wallUs: this.now,
+      },
+      (a) => {
+        this.hear(spec.id, a);
+        if (a?.kind !== 'view' && tries < 90)
+          this.plan(SECOND, () => {
+            this.submit(spec, tries + 1);
+          });
+      },
+    );
+  }
+
+  poll(id: string): void {
+    this.ask(
+      this.random.below(this.nodes.length),
+      { kind: 'user', request: this.nextRequest++, body: { kind: 'poll', id }, wallUs: this.now },
+      (a) => {
+        this.hear(id, a);
+      },
+    );
+  }
+
+  cancel(id: string, tries = 0): void {
+    this.ask(
+      this.random.below(this.nodes.length),
+      { kind: 'user', request: this.nextRequest++, body: { kind: 'cancel', id }, wallUs: this.now },
+      (a) => {
+        this.hear(id, a);
+        if (a?.kind !== 'view' && tries < 90)
+          this.plan(SECOND, () => {
+            this.cancel(id, tries + 1);
+          });
+      },
+    );
+  }
+
+  private checkCancelled(): void {
+    for (const [id, at] of this.cancelledAt) {
+      if (this.now <= at + 40 * SECOND) continue;
+      for (const w of this.workers.values())
+        if (w.alive && w.tasks.some((t) => t.job === id && t.state !== 'exited'))
+          this.broken.push(`ran_cancelled ${id} on ${w.name}`);
+    }
+  }
+
+  // ---- time --------------------------------------------------------------------------------------
+
+  /** Plays on in steps of 25 ms, within which planned events keep their order. */
+  runFor(length: Micros): void {
+    const end = this.now + length;
+    while (this.now < end) {
+      const target = Math.min(end, this.now + 25 * MILLI);
+      for (;;) {
+        let first: Planned | null = null;
+        for (const p of this.queue)
+          if (
+            p.at <= target &&
+            (first === null || p.at < first.at || (p.at === first.at && p.order < first.order))
+          )
+            first = p;
+        if (first === null) break;
+        this.queue.splice(this.queue.indexOf(first), 1);
+        this.now = Math.max(this.now, first.at);
+        first.run();
+      }
+      this.now = target;
+      this.expire();
+      const due = this.watches.filter((w) => w.until <= this.now);
+      this.watches = this.watches.filter((w) => w.until > this.now);
+      for (const w of due) w.reply({ kind: 'events', events: [], revision: this.revision });
+      for (const n of this.nodes)
+        if (n.wake !== null && n.wake <= this.now) {
+          n.wake = null;
+          this.feed(n, { kind: 'timer' });
+        }
+      this.runWorkers();
+      this.checkCancelled();
+    }
+  }
+
+  stageOf(id: string): string | undefined {
+    return this.told.get(id)?.stage;
+  }
+}
