--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -110,6 +110,7 @@
         margin: 60 * SECOND,
         phantom: true,
         runs: new Map(),
+        dear: new Map(),
       });
     }
     return out;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -24,8 +24,8 @@
   /** A member of the gang's attempt is lost: the others are being stopped. */
   broken = false;
   dirty = false;
-  /** Since when the job's turn has kept machines draining. */
-  drainSince: Micros | null = null;
+  /** Room is being made for it until then. */
+  promisedUntil: Micros = 0;
   startedOnce = false;
   private cursor = 0;
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -869,6 +869,7 @@
       type,
       zone: m.zone,
       spot: m.spot,
+      sunk: m.standing,
       machine: m.name,
       ready,
       free: m.freeOf(type),
@@ -889,6 +890,7 @@
     return {
       now: this.ctx.now,
       slots,
+      types: [...this.ctx.types.values()],
       rentable: this.fleet.rentable(),
       rented: new Map(),
       predictor: {
@@ -928,6 +930,7 @@
       this.ctx.settings.teams,
     );
     const first = this.dueTurns(waiting);
+    for (const j of waiting) if (j.promisedUntil > this.ctx.now && !first.includes(j)) first.push(j);
     const rest = waiting.filter((j) => !first.includes(j));
     const levels = new Map<string, ActiveJob[]>();
     for (const j of rest) {
@@ -987,15 +990,12 @@
     let amounts = 0;
     const contenders = jobs.map((job): Contender => {
       const { spec } = job;
-      const type = spec.types?.[0] ?? '';
       const credit = job.credit.get(-1) ?? 0;
-      const run = this.timings.remaining(spec.class, type, spec.estimateUs, credit);
+      const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, credit);
       const amount = job.waiting * (gpu ? spec.gpus : spec.cores);
       work += run * amount;
       amounts += amount;
-      const age = Math.max(0, this.ctx.wallNow - job.at);
-      const setup = 2 * SECOND;
-      return { job, amount, latest: latestStart(job, this.ctx.settings.objectives, age, run, setup) };
+      return { job, amount, latest: this.slackOf(job) };
     });
     const mean = amounts > 0 ? work / amounts : SECOND;
     return orderByAims(contenders, free, total / Math.max(mean, SECOND));
@@ -1022,9 +1022,10 @@
         zones: job.zones(),
         avoid: new Set(job.failedOn.keys()),
         credit: job.credit.get(-1) ?? 0,
-        margin: this.ctx.settings.tuning.rentMarginUs,
+        margin: this.marginOf(job),
         phantom: false,
         runs: new Map(),
+        dear: new Map(),
       };
       jobs.set(group, job);
       groups.push(group);
@@ -1032,6 +1033,22 @@
     return { groups, jobs };
   }
 
+  private slackOf(job: ActiveJob): Micros | null {
+    const { spec } = job;
+    const credit = job.credit.get(-1) ?? 0;
+    const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, credit);
+    const age = Math.max(0, this.ctx.wallNow - job.at);
+    return latestStart(job, this.ctx.settings.objectives, age, run, 2 * SECOND);
+  }
+
+  /** Work that can wait a while and still meet its aim need not have machines rented for it at once. */
+  private marginOf(job: ActiveJob): Micros {
+    const { rentMarginUs } = this.ctx.settings.tuning;
+    const slack = this.slackOf(job);
+    if (slack === null) return 2 * rentMarginUs;
+    return rentMarginUs + Math.min(4 * rentMarginUs, Math.round(slack / 2));
+  }
+
   private plan(): void {
     if (this.ctx.types.size === 0) return;
     const began = this.ctx.stopwatch();
@@ -1111,6 +1128,8 @@
       const victims = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
       if (victims === null || victims.length === 0) continue;
       made++;
+      // What is being freed is for this job: others must not slip in before all of it is there.
+      job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 8 * SECOND;
       this.ctx.debug('preempt', { job: job.id, victims: victims.map((v) => `${v.job.id}/${v.index}`) });
       for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
     }
@@ -1232,7 +1251,7 @@
       attempts.push(a);
     }
     job.startedOnce = true;
-    job.drainSince = null;
+    job.promisedUntil = 0;
     this.ctx.debug('job.start', {
       job: job.id,
       tasks: places.map((p) => `${p.index}@${p.machine.name}`),
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -19,6 +19,8 @@
   readonly type: MachineType;
   readonly zone: string;
   readonly spot: boolean;
+  /** Costs the same whether it is used or not: it is never returned. */
+  readonly sunk: boolean;
   /** Null for a machine that would have to be rented. */
   readonly machine: string | null;
   readonly ready: Micros;
@@ -53,6 +55,8 @@
   readonly margin: Micros;
   /** No real work: room kept for arrivals. */
   readonly phantom: boolean;
+  /** Relative prices by type and kind, filled in as they are asked for. */
+  readonly dear: Map<string, number>;
   /** Predicted run times by type, filled in as they are asked for. */
   readonly runs: Map<string, Micros>;
 }
@@ -76,6 +80,7 @@
   readonly rentable: readonly Rentable[];
   rented: Map<Rentable, number>;
   readonly predictor: Predictor;
+  readonly types: Iterable<MachineType>;
 }
 
 const copyPicture = (p: Picture): Picture => ({
@@ -167,6 +172,10 @@
   s.used = true;
 };
 
+const MAX_DEAR = 6;
+/** What a place that is dearer by its job's lowest price again counts as, in waiting time. */
+const DEAR_WEIGHT: Micros = 8_000_000;
+
 /** Share of the time by which a task keeps a machine busy for longer that counts against the place. */
 const EXTENSION_WEIGHT = 0.12;
 
@@ -176,8 +185,7 @@
  * can be returned.
  */
 const waste = (spec: JobSpec, s: Slot, finish: Micros): Micros => {
-  let w = 0;
-  if (spec.gpus === 0 && s.type.gpus > 0) w += 8_000_000;
+  let w = s.sunk && spec.gpus === 0 && s.type.gpus > 0 ? 8_000_000 : 0;
   const busyUntil = s.changes.at(-1)?.at ?? s.ready;
   if (spec.shape !== 'service')
     w += Math.round(EXTENSION_WEIGHT * Math.max(0, finish - Math.max(busyUntil, s.ready)));
@@ -203,6 +211,7 @@
   type: r.type,
   zone: r.zone,
   spot: r.spot,
+  sunk: false,
   machine: null,
   ready: p.now + r.type.bootUs,
   free: { cores: r.type.cores, gpus: r.type.gpus, memoryGb: r.type.memoryGb },
@@ -212,8 +221,26 @@
   used: false,
 });
 
-const perTask = (spec: JobSpec, r: Rentable): number =>
-  (r.spot ? r.type.spotPrice : r.type.price) / Math.max(1, timesFits(spec, r.type));
+/** What one task's share of a machine costs an hour. */
+const perTask = (spec: JobSpec, type: MachineType, spot: boolean): number =>
+  (spot ? type.spotPrice : type.price) / Math.max(1, timesFits(spec, type));
+
+/** The price of a task's share of a machine, as a multiple of the lowest ordinary price that its job can get. */
+const dearness = (p: Picture, g: Group, type: MachineType, spot: boolean): number => {
+  const key = `${type.name}|${spot ? 's' : 'o'}`;
+  let d = g.dear.get(key);
+  if (d === undefined) {
+    // Nominal prices of all types count, also of those that are refused now: scarcity does not make
+    // a dear machine cheap.
+    let cheapest = Infinity;
+    for (const t of p.types)
+      if ((g.spec.types === null || g.spec.types.includes(t.name)) && fits(g.spec, t))
+        cheapest = Math.min(cheapest, perTask(g.spec, t, false));
+    d = cheapest > 0 && cheapest < Infinity ? Math.min(MAX_DEAR, perTask(g.spec, type, spot) / cheapest) : 1;
+    g.dear.set(key, d);
+  }
+  return d;
+};
 
 /** Looks at every place where `g`'s tasks could go, each with its predicted finish. */
 const eachOption = (
@@ -234,7 +261,9 @@
     if (start === null) return;
     const avoid = s.machine !== null && g.avoid.has(s.machine) ? 60_000_000 : 0;
     const finish = start + length;
-    const rank = finish + waste(spec, s, finish) + extra + avoid;
+    // On a machine that could be returned, work that needs little of what is dear about it blocks the rest.
+    const dear = s.sunk ? 0 : Math.round(DEAR_WEIGHT * Math.max(0, dearness(p, g, s.type, s.spot) - 1));
+    const rank = finish + waste(spec, s, finish) + dear + extra + avoid;
     if (rank >= bound) return;
     const count = Math.max(1, timesFits(spec, room));
     bound = visit({ slot: s, rentable, start, finish, count, rank, warm: fetch === 0 });
@@ -243,15 +272,10 @@
     if (!placeAllowed(spec, s.type.name, s.zone, s.spot) || !fits(spec, s.type)) continue;
     if (zoneAllowed(s.zone)) consider(s, null, 0);
   }
-  let cheapest = Infinity;
-  for (const r of p.rentable)
-    if (placeAllowed(spec, r.type.name, r.zone, r.spot) && fits(spec, r.type))
-      cheapest = Math.min(cheapest, perTask(spec, r));
   for (const r of p.rentable) {
     if (!placeAllowed(spec, r.type.name, r.zone, r.spot) || !fits(spec, r.type)) continue;
     if ((p.rented.get(r) ?? 0) >= r.limit || !zoneAllowed(r.zone)) continue;
-    const dearer = cheapest > 0 ? Math.min(6, perTask(spec, r) / cheapest) : 1;
-    consider(virtualSlot(p, r), r, Math.round(g.margin * dearer));
+    consider(virtualSlot(p, r), r, Math.round(g.margin * Math.max(1, dearness(p, g, r.type, r.spot))));
   }
 };
 
