--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -23,6 +23,7 @@
   retire(m: Machine, reason: string): void;
   changed(): void;
   active(): boolean;
+  thrifty(): boolean;
 }
 
 const MAX_RENT = 50;
@@ -30,6 +31,8 @@
 const PAGE = 500;
 /** Quantile of the normal distribution that headroom is sized by; about nine arrivals in ten. */
 const HEADROOM_Z = 1.3;
+/** Where capacity isn't saved, idle machines are kept this many times as long. */
+const UNTHRIFTY_PATIENCE = 6;
 /** Window over which arrivals are counted. */
 const WINDOW: Micros = 150 * SECOND;
 
@@ -107,7 +110,7 @@
         zones: new Map(),
         avoid: new Set(),
         credit: 0,
-        margin: 60 * SECOND,
+        margin: this.host.thrifty() ? 60 * SECOND : 0,
         phantom: true,
         runs: new Map(),
         dear: new Map(),
@@ -279,6 +282,7 @@
   /** Replaces what never boots; returns what stands idle. `needed` is what the plan counts on. */
   sweep(needed: ReadonlySet<string>): void {
     const { now } = this.ctx;
+    const thrifty = this.host.thrifty();
     for (const m of this.host.machines()) {
       if (m.retiring !== null) continue;
       const type = this.ctx.types.get(m.type);
@@ -288,7 +292,8 @@
         continue;
       }
       if (!m.usable() || m.standing || m.attempts.size > 0 || needed.has(m.name)) continue;
-      if (now - m.idleSince > this.ctx.settings.tuning.idleReturnUs) this.host.retire(m, 'idle');
+      const patience = this.ctx.settings.tuning.idleReturnUs * (thrifty ? 1 : UNTHRIFTY_PATIENCE);
+      if (now - m.idleSince > patience) this.host.retire(m, 'idle');
     }
   }
 }
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -24,8 +24,6 @@
   /** A member of the gang's attempt is lost: the others are being stopped. */
   broken = false;
   dirty = false;
-  /** Room is being made for it until then. */
-  promisedUntil: Micros = 0;
   startedOnce = false;
   private cursor = 0;
 
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -167,6 +167,8 @@
   readonly idleReturnUs: Micros;
   /** How much sooner a rented machine must finish work where money is an aim. */
   readonly rentMarginUs: Micros;
+  /** Whether capacity is saved; `auto`: where no machine stood ready before the service rented any. */
+  readonly thrift: 'auto' | 'on' | 'off';
   /** How often counts of progress are written. */
   readonly progressUs: Micros;
 }
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -5,10 +5,8 @@
 import { SECOND } from './model.js';
 import { addTo, fits, placeAllowed, takeFrom } from './room.js';
 
-/** A start followed by a stop within half a minute was worth nothing: younger attempts are taken last. */
+/** A start followed by a stop within half a minute was worth nothing: younger attempts are left alone. */
 const SETTLED: Micros = 35 * SECOND;
-/** And never before they have had time for something worth saving. */
-const YOUNGEST: Micros = 12 * SECOND;
 
 export interface TeamUse {
   readonly cores: number;
@@ -41,12 +39,10 @@
   a.stopping === null &&
   a.state === 'running' &&
   a.runningAt !== null &&
-  now - a.runningAt >= YOUNGEST &&
+  now - a.runningAt >= SETTLED &&
   a.job.spec.shape === 'array' &&
   a.job.spec.checkpointUs > 0;
 
-const cost = (a: Attempt, now: Micros): number => (now - a.runningAt! < SETTLED ? 4 : 1);
-
 /**
  * The fewest attempts to stop so that all `count` tasks of the job fit, or null. Only attempts that can
  * save their progress are taken. Tasks go where the fewest need to be stopped for them.
@@ -69,7 +65,7 @@
     for (const a of m.attempts.values()) if (a.stopping !== null) addTo(free, a.job.spec);
     const open = [...m.attempts.values()]
       .filter((a) => stoppable(a, now) && mayPreempt(job, a, rights))
-      .sort((a, b) => cost(a, now) - cost(b, now));
+      .sort((a, b) => b.runningAt! - a.runningAt!);
     const zone = spec.sameZone ? m.zone : '';
     const list = byZone.get(zone) ?? [];
     byZone.set(zone, list);
@@ -88,10 +84,9 @@
   let best: Attempt[] | null = null;
   for (const places of byZone.values()) {
     if (places.length < count) continue;
-    const price = (vs: readonly Attempt[]): number => vs.reduce((n, v) => n + cost(v, now), 0);
-    places.sort((a, b) => price(a.victims) - price(b.victims));
+    places.sort((a, b) => a.victims.length - b.victims.length);
     const all = places.slice(0, count).flatMap((p) => p.victims);
-    if (best === null || price(all) < price(best)) best = all;
+    if (best === null || all.length < best.length) best = all;
   }
   return best;
 };
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -843,7 +843,7 @@
     );
   }
 
-  private slotOf(m: Machine, type: MachineType): Slot | null {
+  private slotOf(m: Machine, type: MachineType, thrifty: boolean): Slot | null {
     const booting = !m.up && m.retiring === null && !m.unresolved && m.session === 0;
     if (!booting && !m.usable()) return null;
     const { now } = this.ctx;
@@ -869,7 +869,7 @@
       type,
       zone: m.zone,
       spot: m.spot,
-      sunk: m.standing,
+      sunk: m.standing || !thrifty,
       machine: m.name,
       ready,
       free: m.freeOf(type),
@@ -882,9 +882,10 @@
 
   private picture(): Picture {
     const slots: Slot[] = [];
+    const thrifty = this.thrifty();
     for (const m of this.machinesByName.values()) {
       const type = this.ctx.types.get(m.type);
-      const slot = type === undefined ? null : this.slotOf(m, type);
+      const slot = type === undefined ? null : this.slotOf(m, type, thrifty);
       if (slot !== null) slots.push(slot);
     }
     return {
@@ -930,7 +931,6 @@
       this.ctx.settings.teams,
     );
     const first = this.dueTurns(waiting);
-    for (const j of waiting) if (j.promisedUntil > this.ctx.now && !first.includes(j)) first.push(j);
     const rest = waiting.filter((j) => !first.includes(j));
     const levels = new Map<string, ActiveJob[]>();
     for (const j of rest) {
@@ -1033,6 +1033,17 @@
     return { groups, jobs };
   }
 
+  /**
+   * The settings don't say whether money is an aim. Who keeps machines ready pays for capacity anyway; who
+   * starts from nothing pays by use.
+   */
+  thrifty(): boolean {
+    const { thrift } = this.ctx.settings.tuning;
+    if (thrift !== 'auto') return thrift === 'on';
+    for (const m of this.machinesByName.values()) if (m.standing) return false;
+    return true;
+  }
+
   private slackOf(job: ActiveJob): Micros | null {
     const { spec } = job;
     const credit = job.credit.get(-1) ?? 0;
@@ -1043,6 +1054,7 @@
 
   /** Work that can wait a while and still meet its aim need not have machines rented for it at once. */
   private marginOf(job: ActiveJob): Micros {
+    if (!this.thrifty()) return 0;
     const { rentMarginUs } = this.ctx.settings.tuning;
     const slack = this.slackOf(job);
     if (slack === null) return 2 * rentMarginUs;
@@ -1128,8 +1140,6 @@
       const victims = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
       if (victims === null || victims.length === 0) continue;
       made++;
-      // What is being freed is for this job: others must not slip in before all of it is there.
-      job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 8 * SECOND;
       this.ctx.debug('preempt', { job: job.id, victims: victims.map((v) => `${v.job.id}/${v.index}`) });
       for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
     }
@@ -1251,7 +1261,6 @@
       attempts.push(a);
     }
     job.startedOnce = true;
-    job.promisedUntil = 0;
     this.ctx.debug('job.start', {
       job: job.id,
       tasks: places.map((p) => `${p.index}@${p.machine.name}`),
@@ -1362,7 +1371,7 @@
         this.writer.write({ kind: 'put', key: TIMINGS, value });
     }
     if (this.sweeps % 4 === 0 || this.planAgain) this.planSoon();
-    if (this.sweeps % 6 === 0 && entitled) this.consolidate();
+    if (this.sweeps % 6 === 0 && entitled && this.thrifty()) this.consolidate();
     if (this.sweeps % 20 === 0) this.summarise();
   }
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -83,6 +83,7 @@
   turn_every_s: Schema.optionalWith(Positive, { default: () => 30 }),
   idle_return_s: Schema.optionalWith(NonNegative, { default: () => 20 }),
   rent_margin_s: Schema.optionalWith(NonNegative, { default: () => 20 }),
+  thrift: Schema.optionalWith(Schema.Literal('auto', 'on', 'off'), { default: () => 'auto' as const }),
   progress_s: Schema.optionalWith(Positive, { default: () => 2 }),
 });
 
@@ -119,6 +120,7 @@
     turnEveryUs: us(o.turn_every_s),
     idleReturnUs: us(o.idle_return_s),
     rentMarginUs: us(o.rent_margin_s),
+    thrift: o.thrift,
     progressUs: us(o.progress_s),
   };
 };
