Room held by lower priorities counts for the order and is promised once made

Cause: gangs of four always looked too late to the rule of Moore and Hodgson and were overtaken by single ones, also in room freed for them (log: waits of 100 to 300 s, all of four tasks). Ruled out: processor time (the same without charges).

--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -25,6 +25,8 @@
   broken = false;
   dirty = false;
   startedOnce = false;
+  /** Room is being made for it until then. */
+  promisedUntil: Micros = 0;
   private cursor = 0;
 
   constructor(
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -931,6 +931,7 @@
       this.ctx.settings.teams,
     );
     const first = this.dueTurns(waiting);
+    for (const j of waiting) if (j.promisedUntil > this.ctx.now && !first.includes(j)) first.push(j);
     const rest = waiting.filter((j) => !first.includes(j));
     const levels = new Map<string, ActiveJob[]>();
     for (const j of rest) {
@@ -941,7 +942,7 @@
     }
     const ordered: ActiveJob[] = [];
     for (const key of [...levels.keys()].sort().reverse())
-      ordered.push(...this.byAims(levels.get(key)!, key.endsWith('gpu')));
+      ordered.push(...this.byAims(levels.get(key)!, key.endsWith('gpu'), Number(key[0])));
     return [...first, ...ordered];
   }
 
@@ -976,7 +977,7 @@
     return out;
   }
 
-  private byAims(jobs: readonly ActiveJob[], gpu: boolean): ActiveJob[] {
+  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: number): ActiveJob[] {
     let total = 0;
     let free = 0;
     for (const m of this.machinesByName.values()) {
@@ -984,7 +985,11 @@
       if (type === undefined || m.retiring !== null) continue;
       const room = m.freeOf(type);
       total += gpu ? type.gpus : type.cores;
-      if (m.up) free += Math.max(0, gpu ? room.gpus : room.cores);
+      if (!m.up) continue;
+      free += Math.max(0, gpu ? room.gpus : room.cores);
+      // Room held by lower priorities can be had: without it, large jobs seem to come too late always.
+      for (const a of m.attempts.values())
+        if (a.job.spec.priority < priority) free += gpu ? a.job.spec.gpus : a.job.spec.cores;
     }
     let work = 0;
     let amounts = 0;
@@ -1140,6 +1145,8 @@
       const victims = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
       if (victims === null || victims.length === 0) continue;
       made++;
+      // What is being freed is for this job: others must not slip in before all of it is there.
+      job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 6 * SECOND;
       this.ctx.debug('preempt', { job: job.id, victims: victims.map((v) => `${v.job.id}/${v.index}`) });
       for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
     }
