--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -111,6 +111,7 @@
         avoid: new Set(),
         credit: 0,
         margin: this.host.thrifty() ? 60 * SECOND : 0,
+        only: null,
         phantom: true,
         runs: new Map(),
         dear: new Map(),
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -27,6 +27,8 @@
   startedOnce = false;
   /** Room is being made for it until then. */
   promisedUntil: Micros = 0;
+  /** Where that is; the plan looks nowhere else meanwhile. */
+  promisedOn: ReadonlySet<string> | null = null;
   private cursor = 0;
 
   constructor(
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -8,6 +8,12 @@
 /** A start followed by a stop within half a minute was worth nothing: younger attempts are left alone. */
 const SETTLED: Micros = 35 * SECOND;
 
+/** What to stop, and the machines on which all tasks then fit. */
+export interface Clearing {
+  readonly victims: readonly Attempt[];
+  readonly machines: ReadonlySet<string>;
+}
+
 export interface TeamUse {
   readonly cores: number;
   readonly gpus: number;
@@ -54,7 +60,7 @@
   types: ReadonlyMap<string, MachineType>,
   rights: Rights,
   now: Micros,
-): Attempt[] | null => {
+): Clearing | null => {
   const { spec } = job;
   const byZone = new Map<string, { machine: Machine; victims: Attempt[] }[]>();
   for (const m of machines) {
@@ -81,12 +87,14 @@
       list.push({ machine: m, victims });
     }
   }
-  let best: Attempt[] | null = null;
+  let best: Clearing | null = null;
   for (const places of byZone.values()) {
     if (places.length < count) continue;
     places.sort((a, b) => a.victims.length - b.victims.length);
-    const all = places.slice(0, count).flatMap((p) => p.victims);
-    if (best === null || all.length < best.length) best = all;
+    const taken = places.slice(0, count);
+    const victims = taken.flatMap((p) => p.victims);
+    if (best === null || victims.length < best.victims.length)
+      best = { victims, machines: new Set(taken.map((p) => p.machine.name)) };
   }
   return best;
 };
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1028,6 +1028,7 @@
         avoid: new Set(job.failedOn.keys()),
         credit: job.credit.get(-1) ?? 0,
         margin: this.marginOf(job),
+        only: job.promisedUntil > this.ctx.now ? job.promisedOn : null,
         phantom: false,
         runs: new Map(),
         dear: new Map(),
@@ -1142,8 +1143,10 @@
       if (start <= this.ctx.now + 8 * SECOND) continue;
       rights ??= this.rights();
       const count = job.spec.shape === 'gang' ? job.spec.tasks : Math.min(job.waiting, 16);
-      const victims = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
-      if (victims === null || victims.length === 0) continue;
+      const clearing = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
+      if (clearing === null || clearing.victims.length === 0) continue;
+      const { victims } = clearing;
+      job.promisedOn = clearing.machines;
       made++;
       // What is being freed is for this job: others must not slip in before all of it is there.
       job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 6 * SECOND;
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -53,6 +53,8 @@
   readonly credit: Micros;
   /** Weight of the wait for a rented machine, 1 where the job has no tight aim. */
   readonly margin: Micros;
+  /** The only machines to look at, where room is being made for the group. */
+  readonly only: ReadonlySet<string> | null;
   /** No real work: room kept for arrivals. */
   readonly phantom: boolean;
   /** Relative prices by type and kind, filled in as they are asked for. */
@@ -270,8 +272,10 @@
   };
   for (const s of p.slots) {
     if (!placeAllowed(spec, s.type.name, s.zone, s.spot) || !fits(spec, s.type)) continue;
+    if (g.only !== null && (s.machine === null || !g.only.has(s.machine))) continue;
     if (zoneAllowed(s.zone)) consider(s, null, 0);
   }
+  if (g.only !== null) return;
   for (const r of p.rentable) {
     if (!placeAllowed(spec, r.type.name, r.zone, r.spot) || !fits(spec, r.type)) continue;
     if ((p.rented.get(r) ?? 0) >= r.limit || !zoneAllowed(r.zone)) continue;
