--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -112,6 +112,7 @@
         credit: 0,
         margin: this.host.thrifty() ? 60 * SECOND : 0,
         only: null,
+        reserve: false,
         phantom: true,
         runs: new Map(),
         dear: new Map(),
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1011,7 +1011,9 @@
     const unaccounted = this.unaccounted();
     const jobs = new Map<Group, ActiveJob>();
     const groups: Group[] = [];
-    for (const job of this.inOrder()) {
+    const order = this.inOrder();
+    const lowest = Math.min(...order.map((j) => j.spec.priority));
+    for (const job of order) {
       if (groups.length >= MAX_GROUPS) break;
       const { spec } = job;
       const team = this.ctx.settings.teams.find((t) => t.name === spec.team);
@@ -1028,6 +1030,10 @@
         avoid: new Set(job.failedOn.keys()),
         credit: job.credit.get(-1) ?? 0,
         margin: this.marginOf(job),
+        reserve:
+          spec.priority > lowest ||
+          job.promisedUntil > this.ctx.now ||
+          this.turns.get(spec.team)?.job === job,
         only: job.promisedUntil > this.ctx.now ? job.promisedOn : null,
         phantom: false,
         runs: new Map(),
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -55,6 +55,11 @@
   readonly margin: Micros;
   /** The only machines to look at, where room is being made for the group. */
   readonly only: ReadonlySet<string> | null;
+  /**
+   * Its turn, its promise or its priority protects it: if it can't begin now, what it will need is kept
+   * from the groups behind it.
+   */
+  readonly reserve: boolean;
   /** No real work: room kept for arrivals. */
   readonly phantom: boolean;
   /** Relative prices by type and kind, filled in as they are asked for. */
@@ -491,6 +496,14 @@
   const phantoms = groups.filter((g) => g.phantom);
   let searched = 0;
   let fellBack = false;
+  // Else the first actions of others, which are all that is compared below, would take the room that
+  // is being made for these, a task at a time, for ever.
+  for (const g of left.filter((x) => x.reserve)) {
+    if (firstOptions(p, g).length > 0) continue;
+    const made = placeGroup(p, g);
+    if (made !== null) steps.push(...made);
+    left = left.filter((x) => x !== g);
+  }
   while (left.length > 0) {
     const represented = left.slice(0, limits.depth);
     let chosen: { group: Group; option: Option; score: Score } | null = null;
