First list before first rental; work that saves goes to spot machines first

Cause: rented machines in the first list passed for standing ones, so krakow was thrifty or not by chance.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -31,6 +31,8 @@
 const PAGE = 500;
 /** Quantile of the normal distribution that headroom is sized by; about nine arrivals in ten. */
 const HEADROOM_Z = 1.3;
+/** Renting waits at most this long for the first list. */
+const FIRST_LIST_WAIT: Micros = 3 * SECOND;
 /** Where capacity isn't saved, idle machines are kept this many times as long. */
 const UNTHRIFTY_PATIENCE = 6;
 /** Window over which arrivals are counted. */
@@ -46,6 +48,7 @@
   >();
   private bookings = 0;
   private firstList = true;
+  private began: Micros = 0;
   private deletes: string[] = [];
   private deleting = false;
 
@@ -55,6 +58,7 @@
   ) {}
 
   start(): void {
+    this.began = this.ctx.now;
     this.poll();
     this.refreshTypes();
   }
@@ -123,6 +127,8 @@
 
   /** Rents what the play-out used of machines that are not there. */
   rentFor(d: Decision): void {
+    // First see what is there: what stands ready before any renting is never returned.
+    if (this.firstList && this.ctx.now < this.began + FIRST_LIST_WAIT) return;
     for (const [r, count] of d.picture.rented) {
       if (count <= 0) continue;
       const key = offerKey(r.type.name, r.zone, r.spot);
@@ -249,6 +255,7 @@
           return;
         }
         this.compare(seen, began);
+        this.host.changed();
       }
       this.ctx.after(every, () => {
         if (this.host.active()) this.poll();
@@ -258,7 +265,7 @@
 
   /** Adopts what nobody expected, and learns what is gone from what is not listed any more. */
   private compare(listed: readonly ListedMachine[], began: Micros): void {
-    const standing = this.firstList && this.host.term === 1;
+    const standing = this.firstList && this.host.term === 1 && this.bookings === 0;
     this.firstList = false;
     const names = new Set<string>();
     for (const l of listed) {
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -198,7 +198,8 @@
     w += Math.round(EXTENSION_WEIGHT * Math.max(0, finish - Math.max(busyUntil, s.ready)));
   const share = s.type.gpus > 0 ? s.free.gpus / s.type.gpus : s.free.cores / s.type.cores;
   w += Math.round(4_000_000 * Math.max(0, Math.min(1, share)));
-  if (s.spot) w += 500_000;
+  // Machines that may be taken back are for work that saves; the others are for what must not go there.
+  if (spec.spot) w += s.spot === spec.checkpointUs > 0 ? 0 : 4_000_000;
   return w;
 };
 
