--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -115,6 +115,7 @@
         avoid: new Set(),
         credit: 0,
         margin: this.host.thrifty() ? 60 * SECOND : 0,
+        patience: 60 * SECOND,
         only: null,
         reserve: false,
         phantom: true,
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1030,6 +1030,7 @@
         avoid: new Set(job.failedOn.keys()),
         credit: job.credit.get(-1) ?? 0,
         margin: this.marginOf(job),
+        patience: this.patienceOf(job),
         reserve:
           spec.priority > lowest ||
           job.promisedUntil > this.ctx.now ||
@@ -1064,6 +1065,11 @@
     return latestStart(job, this.ctx.settings.objectives, age, run, 2 * SECOND);
   }
 
+  private patienceOf(job: ActiveJob): Micros {
+    const slack = this.slackOf(job);
+    return slack === null ? 60 * SECOND : Math.round(slack / 2);
+  }
+
   /** Work that can wait a while and still meet its aim need not have machines rented for it at once. */
   private marginOf(job: ActiveJob): Micros {
     if (!this.thrifty()) return 0;
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -53,6 +53,8 @@
   readonly credit: Micros;
   /** Weight of the wait for a rented machine, 1 where the job has no tight aim. */
   readonly margin: Micros;
+  /** How long it may wait for a cheaper place without risk to its next aim. */
+  readonly patience: Micros;
   /** The only machines to look at, where room is being made for the group. */
   readonly only: ReadonlySet<string> | null;
   /**
@@ -270,7 +272,9 @@
     const avoid = s.machine !== null && g.avoid.has(s.machine) ? 60_000_000 : 0;
     const finish = start + length;
     // On a machine that could be returned, work that needs little of what is dear about it blocks the rest.
-    const dear = s.sunk ? 0 : Math.round(DEAR_WEIGHT * Math.max(0, dearness(p, g, s.type, s.spot) - 1));
+    const dear = s.sunk
+      ? 0
+      : Math.min(g.patience, Math.round(DEAR_WEIGHT * Math.max(0, dearness(p, g, s.type, s.spot) - 1)));
     const rank = finish + waste(spec, s, finish) + dear + extra + avoid;
     if (rank >= bound) return;
     const count = Math.max(1, timesFits(spec, room));
