--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1075,8 +1075,8 @@
     if (!this.thrifty()) return 0;
     const { rentMarginUs } = this.ctx.settings.tuning;
     const slack = this.slackOf(job);
-    if (slack === null) return 2 * rentMarginUs;
-    return rentMarginUs + Math.min(4 * rentMarginUs, Math.round(slack / 2));
+    if (slack === null) return rentMarginUs;
+    return rentMarginUs + Math.min(rentMarginUs, Math.round(slack / 4));
   }
 
   private plan(): void {
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -181,7 +181,7 @@
   s.used = true;
 };
 
-const MAX_DEAR = 6;
+const MAX_DEAR = 3;
 /** What a place that is dearer by its job's lowest price again counts as, in waiting time. */
 const DEAR_WEIGHT: Micros = 8_000_000;
 
