--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -952,7 +952,13 @@
     const oldest = new Map<string, ActiveJob>();
     for (const j of waiting) {
       const o = oldest.get(j.spec.team);
-      if (o === undefined || j.at < o.at) oldest.set(j.spec.team, j);
+      // Of the highest priority that waits: a turn must not put low work ahead of what may preempt it.
+      if (
+        o === undefined ||
+        j.spec.priority > o.spec.priority ||
+        (j.spec.priority === o.spec.priority && j.at < o.at)
+      )
+        oldest.set(j.spec.team, j);
     }
     const out: ActiveJob[] = [];
     for (const [team, job] of oldest) {
