--- /dev/null
+++ b/src/core/board.ts
@@ -0,0 +1,625 @@
+/**
+ * The picture that placement works on: machines by pool, in the order in which they may have room, with
+ * everything that a play-out changes noted so that it can be taken back. Nothing is copied: at a thousand
+ * machines a copy for each candidate costs far more than the play-out itself.
+ */
+import type { JobSpec, MachineType, Micros } from './model.js';
+import type { Amounts } from './room.js';
+import { fits, placeAllowed, timesFits } from './room.js';
+
+/** Room that changes at a later time: what ends gives room, what is planned takes it. */
+export interface Change extends Amounts {
+  readonly at: Micros;
+}
+
+/** A machine in the picture: up, booting, or only rentable. */
+export interface Slot {
+  readonly key: string;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** Costs the same whether it is used or not: it is never returned. */
+  readonly sunk: boolean;
+  /** Null for a machine that would have to be rented. */
+  readonly machine: string | null;
+  readonly ready: Micros;
+  /** Room at `ready`. */
+  free: Readonly<Amounts>;
+  changes: readonly Change[];
+  images: ReadonlySet<string>;
+  /** Above 1: runs slower than its type. */
+  readonly slow: number;
+  used: boolean;
+}
+
+/** A kind of machine that may be rented. */
+export interface Rentable {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly limit: number;
+}
+
+/** Identical waiting tasks of one job. */
+export interface Group {
+  readonly spec: JobSpec;
+  readonly count: number;
+  /** Tasks of the job in each zone already. */
+  readonly zones: ReadonlyMap<string, number>;
+  /** Machines that these tasks had better avoid. */
+  readonly avoid: ReadonlySet<string>;
+  /** Progress that a restart continues from. */
+  readonly credit: Micros;
+  /** Weight of the wait for a rented machine, 1 where the job has no tight aim. */
+  readonly margin: Micros;
+  /** How long it may wait for a cheaper place without risk to its next aim. */
+  readonly patience: Micros;
+  /** The only machines to look at, where room is being made for the group. */
+  readonly only: ReadonlySet<string> | null;
+  /**
+   * Its turn, its promise or its priority protects it: if it can't begin now, what it will need is kept
+   * from the groups behind it.
+   */
+  readonly reserve: boolean;
+  /** No real work: room kept for arrivals. */
+  readonly phantom: boolean;
+  /** Relative prices by type and kind, filled in as they are asked for. */
+  readonly dear: Map<string, number>;
+  /** Predicted run times by type, filled in as they are asked for. */
+  readonly runs: Map<string, Micros>;
+}
+
+/** `count` tasks of a group begin on a slot at a time. */
+export interface Step {
+  readonly group: Group;
+  readonly seat: Seat;
+  readonly slot: Slot;
+  readonly count: number;
+  readonly start: Micros;
+  readonly finish: Micros;
+}
+
+export interface Predictor {
+  runTime(spec: JobSpec, type: MachineType, credit: Micros): Micros;
+}
+
+export interface Picture {
+  readonly now: Micros;
+  slots: Slot[];
+  readonly rentable: readonly Rentable[];
+  rented: Map<Rentable, number>;
+  readonly predictor: Predictor;
+  readonly types: Iterable<MachineType>;
+}
+
+/** Services never finish: for the play-out they hold their room this long. */
+const FOREVER: Micros = 1e13;
+
+const fetchTime = (spec: JobSpec, s: { type: MachineType; images: ReadonlySet<string> }): Micros =>
+  s.images.has(spec.image) || s.type.fetchGbPerS <= 0
+    ? 0
+    : Math.round((spec.imageGb / s.type.fetchGbPerS) * 1e6);
+
+/** The first time from which `need` fits for all of `length`; the room then is left in `room`. */
+const earliest = (s: Slot, need: Amounts, length: Micros, room: Amounts): Micros | null => {
+  const { changes } = s;
+  let { cores, gpus, memoryGb } = s.free;
+  // Room at a start time is that of all changes up to it; then the least over the length must fit.
+  for (let first = -1; first < changes.length; first++) {
+    let t = s.ready;
+    if (first >= 0) {
+      const c = changes[first]!;
+      cores += c.cores;
+      gpus += c.gpus;
+      memoryGb += c.memoryGb;
+      if (c.at > t) t = c.at;
+    }
+    const next = changes[first + 1];
+    if (next !== undefined && next.at <= t) continue;
+    room.cores = cores;
+    room.gpus = gpus;
+    room.memoryGb = memoryGb;
+    if (!fits(need, room)) continue;
+    let ok = true;
+    let c = cores;
+    let g = gpus;
+    let m = memoryGb;
+    for (let i = first + 1; i < changes.length && changes[i]!.at < t + length; i++) {
+      const x = changes[i]!;
+      c += x.cores;
+      g += x.gpus;
+      m += x.memoryGb;
+      if (c < room.cores) room.cores = c;
+      if (g < room.gpus) room.gpus = g;
+      if (m < room.memoryGb) room.memoryGb = m;
+      if (!fits(need, room)) {
+        ok = false;
+        break;
+      }
+    }
+    if (ok) return t;
+  }
+  return null;
+};
+
+const negative = (at: Micros, n: Readonly<Amounts>): Change => ({
+  at,
+  cores: -n.cores,
+  gpus: -n.gpus,
+  memoryGb: -n.memoryGb,
+});
+
+/** Slots' amounts and changes are never altered in place: what is taken back is put back whole. */
+const insert = (s: Slot, ...added: readonly Change[]): void => {
+  const changes = s.changes.slice();
+  for (const c of added) {
+    let i = changes.length;
+    while (i > 0 && changes[i - 1]!.at > c.at) i--;
+    changes.splice(i, 0, c);
+  }
+  s.changes = changes;
+};
+
+const MAX_DEAR = 3;
+/** What a place that is dearer by its job's lowest price again counts as, in waiting time. */
+const DEAR_WEIGHT: Micros = 8_000_000;
+
+/** Share of the time by which a task keeps a machine busy for longer that counts against the place. */
+const EXTENSION_WEIGHT = 0.12;
+
+/**
+ * What separates places with near-equal finishes: GPU machines are kept for work that needs GPUs, and
+ * a task had better go where the machine is busy for as long anyway, so that others become empty and
+ * can be returned.
+ */
+const waste = (spec: JobSpec, s: Slot, finish: Micros): Micros => {
+  let w = s.sunk && spec.gpus === 0 && s.type.gpus > 0 ? 8_000_000 : 0;
+  const busyUntil = s.changes.at(-1)?.at ?? s.ready;
+  if (spec.shape !== 'service')
+    w += Math.round(EXTENSION_WEIGHT * Math.max(0, finish - Math.max(busyUntil, s.ready)));
+  const share = s.type.gpus > 0 ? s.free.gpus / s.type.gpus : s.free.cores / s.type.cores;
+  w += Math.round(4_000_000 * Math.max(0, Math.min(1, share)));
+  // Machines that may be taken back are for work that saves; the others are for what must not go there.
+  if (spec.spot) w += s.spot === spec.checkpointUs > 0 ? 0 : 4_000_000;
+  return w;
+};
+
+export interface Option {
+  readonly seat: Seat;
+  readonly rentable: Rentable | null;
+  readonly start: Micros;
+  readonly finish: Micros;
+  readonly count: number;
+  readonly rank: number;
+  readonly warm: boolean;
+}
+
+/** What one task's share of a machine costs an hour. */
+const perTask = (spec: JobSpec, type: MachineType, spot: boolean): number =>
+  (spot ? type.spotPrice : type.price) / Math.max(1, timesFits(spec, type));
+
+/** The price of a task's share of a machine, as a multiple of the lowest ordinary price that its job can get. */
+const dearness = (p: Picture, g: Group, type: MachineType, spot: boolean): number => {
+  const key = spot ? `${type.name}|s` : type.name;
+  let d = g.dear.get(key);
+  if (d === undefined) {
+    // Nominal prices of all types count, also of those that are refused now: scarcity does not make
+    // a dear machine cheap.
+    let cheapest = Infinity;
+    for (const t of p.types)
+      if ((g.spec.types === null || g.spec.types.includes(t.name)) && fits(g.spec, t))
+        cheapest = Math.min(cheapest, perTask(g.spec, t, false));
+    d = cheapest > 0 && cheapest < Infinity ? Math.min(MAX_DEAR, perTask(g.spec, type, spot) / cheapest) : 1;
+    g.dear.set(key, d);
+  }
+  return d;
+};
+
+/** A slot with what is known of when it may have room. */
+export interface Seat {
+  readonly slot: Slot;
+  /** No work of the plan fits before that, by need of GPUs (0 without, 1 with). Never later than the truth. */
+  readonly floor: [Micros, Micros];
+  /** Idle seats with the same number are alike; -1: like no other. */
+  alike: number;
+}
+
+interface Pool {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** By the first floor that the seats had, for each need of GPUs. */
+  readonly byFloor: [Seat[], Seat[]];
+  readonly seats: Seat[];
+  /** The floors that the seats were sorted by. */
+  readonly sorted: [Micros[], Micros[]];
+  /** The least that any group of the plan needs here, by need of GPUs. Null: none may come here. */
+  readonly least: [Amounts | null, Amounts | null];
+}
+
+type Undo =
+  | {
+      readonly seat: Seat;
+      readonly free: Readonly<Amounts>;
+      readonly changes: readonly Change[];
+      readonly images: ReadonlySet<string>;
+      readonly used: boolean;
+      readonly alike: number;
+      readonly floor0: Micros;
+      readonly floor1: Micros;
+    }
+  | { readonly seat: null; readonly rentable: Rentable; readonly pool: Pool };
+
+/** Stands for the floor of a rented machine, which is added behind the sorted ones. */
+const UNSORTED = -1;
+
+export const gpuKind = (spec: JobSpec): 0 | 1 => (spec.gpus > 0 ? 1 : 0);
+
+/** When the least need first fits, however briefly; the slot's own word if it never does. */
+const firstFit = (s: Slot, least: Amounts | null): Micros => {
+  if (least === null) return FOREVER;
+  let { cores, gpus, memoryGb } = s.free;
+  let t = s.ready;
+  for (let i = 0; ; i++) {
+    const c = s.changes[i];
+    if (
+      (c === undefined || c.at > t) &&
+      least.cores <= cores + 1e-6 &&
+      least.gpus <= gpus + 1e-6 &&
+      least.memoryGb <= memoryGb + 1e-6
+    )
+      return t;
+    if (c === undefined) return FOREVER;
+    cores += c.cores;
+    gpus += c.gpus;
+    memoryGb += c.memoryGb;
+    if (c.at > t) t = c.at;
+  }
+};
+
+export class Board {
+  readonly zones: readonly string[];
+  private readonly pools = new Map<string, Pool>();
+  private readonly seatByMachine = new Map<string, Seat>();
+  private readonly alikes = new Map<string, number>();
+  private undo: Undo[] = [];
+  private virtual = 0;
+  private seen = new Int32Array(64);
+  /** Places looked at: the work bound of a plan, for tests and logs. */
+  looks = 0;
+
+  constructor(
+    readonly picture: Picture,
+    groups: readonly Group[],
+  ) {
+    const zones = new Set<string>();
+    for (const s of picture.slots) {
+      const seat: Seat = { slot: s, floor: [0, 0], alike: this.alikeOf(s) };
+      this.poolOf(s.type, s.zone, s.spot).seats.push(seat);
+      if (s.machine !== null) this.seatByMachine.set(s.machine, seat);
+      zones.add(s.zone);
+    }
+    for (const r of picture.rentable) {
+      zones.add(r.zone);
+      this.poolOf(r.type, r.zone, r.spot);
+    }
+    this.zones = [...zones];
+    for (const p of this.pools.values()) {
+      for (const g of groups) this.widen(p, g.spec);
+      this.sort(p);
+    }
+  }
+
+  private poolOf(type: MachineType, zone: string, spot: boolean): Pool {
+    const key = `${type.name}|${zone}|${spot ? 's' : 'o'}`;
+    let p = this.pools.get(key);
+    if (p === undefined) {
+      p = { type, zone, spot, byFloor: [[], []], sorted: [[], []], seats: [], least: [null, null] };
+      this.pools.set(key, p);
+    }
+    return p;
+  }
+
+  private widen(p: Pool, spec: JobSpec): void {
+    if (!placeAllowed(spec, p.type.name, p.zone, p.spot) || !fits(spec, p.type)) return;
+    const k = gpuKind(spec);
+    const l = p.least[k];
+    if (l === null) p.least[k] = { cores: spec.cores, gpus: spec.gpus, memoryGb: spec.memoryGb };
+    else {
+      l.cores = Math.min(l.cores, spec.cores);
+      l.gpus = Math.min(l.gpus, spec.gpus);
+      l.memoryGb = Math.min(l.memoryGb, spec.memoryGb);
+    }
+  }
+
+  /** Idle machines that differ in nothing that counts need be looked at once. */
+  private alikeOf(s: Slot): number {
+    if (s.changes.length > 0) return -1;
+    const { cores, gpus, memoryGb } = s.free;
+    const key = `${s.type.name}|${s.zone}|${s.spot ? 's' : 'o'}|${s.sunk ? 1 : 0}|${s.ready}|${s.slow}|${cores}|${gpus}|${memoryGb}|${[...s.images].join()}`;
+    let n = this.alikes.get(key);
+    if (n === undefined) this.alikes.set(key, (n = this.alikes.size));
+    return n;
+  }
+
+  /** Once, before anything is played out: floors found later would be those of some trial. */
+  private sort(p: Pool): void {
+    for (const k of [0, 1] as const) {
+      if (p.least[k] === null) continue;
+      for (const s of p.seats) s.floor[k] = firstFit(s.slot, p.least[k]);
+      p.byFloor[k].push(...p.seats);
+      p.byFloor[k].sort((x, y) => x.floor[k] - y.floor[k]);
+      p.sorted[k].push(...p.byFloor[k].map((x) => x.floor[k]));
+    }
+  }
+
+  mark(): number {
+    return this.undo.length;
+  }
+
+  /** Takes back everything since the mark. */
+  rollback(mark: number): void {
+    while (this.undo.length > mark) {
+      const u = this.undo.pop()!;
+      if (u.seat !== null) {
+        const s = u.seat.slot;
+        s.free = u.free;
+        s.changes = u.changes;
+        s.images = u.images;
+        s.used = u.used;
+        u.seat.alike = u.alike;
+        u.seat.floor[0] = u.floor0;
+        u.seat.floor[1] = u.floor1;
+      } else {
+        this.picture.rented.set(u.rentable, this.picture.rented.get(u.rentable)! - 1);
+        if (this.picture.rented.get(u.rentable) === 0) this.picture.rented.delete(u.rentable);
+        this.picture.slots.pop();
+        u.pool.seats.pop();
+        for (const k of [0, 1] as const) {
+          u.pool.byFloor[k].pop();
+          u.pool.sorted[k].pop();
+        }
+      }
+    }
+  }
+
+  private note(seat: Seat): void {
+    const s = seat.slot;
+    this.undo.push({
+      seat,
+      free: s.free,
+      changes: s.changes,
+      images: s.images,
+      used: s.used,
+      alike: seat.alike,
+      floor0: seat.floor[0],
+      floor1: seat.floor[1],
+    });
+  }
+
+  private refit(seat: Seat): void {
+    const { slot } = seat;
+    const p = this.poolOf(slot.type, slot.zone, slot.spot);
+    seat.alike = -1;
+    seat.floor[0] = firstFit(slot, p.least[0]);
+    seat.floor[1] = firstFit(slot, p.least[1]);
+  }
+
+  occupy(seat: Seat, g: Group, count: number, start: Micros, finish: Micros): void {
+    this.note(seat);
+    const s = seat.slot;
+    const { spec } = g;
+    const n: Amounts = {
+      cores: spec.cores * count,
+      gpus: spec.gpus * count,
+      memoryGb: spec.memoryGb * count,
+    };
+    if (start <= s.ready) {
+      s.free = {
+        cores: s.free.cores - n.cores,
+        gpus: s.free.gpus - n.gpus,
+        memoryGb: s.free.memoryGb - n.memoryGb,
+      };
+      insert(s, { at: finish, ...n });
+    } else insert(s, negative(start, n), { at: finish, ...n });
+    if (!s.images.has(spec.image)) s.images = new Set(s.images).add(spec.image);
+    s.used = true;
+    this.refit(seat);
+  }
+
+  /** The room that ends at `from` stays taken until `until`. */
+  prolong(seat: Seat, g: Group, count: number, from: Micros, until: Micros): void {
+    this.note(seat);
+    const { spec } = g;
+    const n: Amounts = {
+      cores: spec.cores * count,
+      gpus: spec.gpus * count,
+      memoryGb: spec.memoryGb * count,
+    };
+    insert(seat.slot, negative(from, n), { at: until, ...n });
+    this.refit(seat);
+  }
+
+  /** Makes a chosen place part of the picture: one that would be rented is counted. */
+  realise(o: Option): void {
+    const r = o.rentable;
+    if (r === null) return;
+    const { picture } = this;
+    const pool = this.poolOf(r.type, r.zone, r.spot);
+    picture.rented.set(r, (picture.rented.get(r) ?? 0) + 1);
+    picture.slots.push(o.seat.slot);
+    pool.seats.push(o.seat);
+    for (const k of [0, 1] as const) {
+      // At the end of the order, whatever its floor: the scan below knows that floors are not sorted there.
+      pool.byFloor[k].push(o.seat);
+      pool.sorted[k].push(UNSORTED);
+    }
+    this.undo.push({ seat: null, rentable: r, pool });
+  }
+
+  private virtualSeat(r: Rentable): Seat {
+    const ready = this.picture.now + r.type.bootUs;
+    return {
+      slot: {
+        key: `rent-${this.virtual++}`,
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        sunk: false,
+        machine: null,
+        ready,
+        free: { cores: r.type.cores, gpus: r.type.gpus, memoryGb: r.type.memoryGb },
+        changes: [],
+        images: new Set(),
+        slow: 1,
+        used: false,
+      },
+      floor: [ready, ready],
+      alike: -1,
+    };
+  }
+
+  private duration(g: Group, s: { type: MachineType; slow: number }): Micros {
+    if (g.spec.shape === 'service') return FOREVER;
+    let run = g.runs.get(s.type.name);
+    if (run === undefined) {
+      run = this.picture.predictor.runTime(g.spec, s.type, g.credit);
+      g.runs.set(s.type.name, run);
+    }
+    return Math.round(run * s.slow);
+  }
+
+  private readonly room: Amounts = { cores: 0, gpus: 0, memoryGb: 0 };
+
+  /** The place that a seat offers to the group's next tasks, if its rank is below the bound. */
+  offer(g: Group, seat: Seat, rentable: Rentable | null, bound: Micros): Option | null {
+    this.looks++;
+    const { spec } = g;
+    const s = seat.slot;
+    const extra =
+      rentable === null ? 0 : Math.round(g.margin * Math.max(1, dearness(this.picture, g, s.type, s.spot)));
+    const fetch = fetchTime(spec, s);
+    const length = fetch + this.duration(g, s);
+    if (s.ready + length + extra >= bound) return null;
+    const start = earliest(s, spec, length, this.room);
+    if (start === null) return null;
+    const avoid = s.machine !== null && g.avoid.has(s.machine) ? 60_000_000 : 0;
+    const finish = start + length;
+    // On a machine that could be returned, work that needs little of what is dear about it blocks the rest.
+    const dear = s.sunk
+      ? 0
+      : Math.min(
+          g.patience,
+          Math.round(DEAR_WEIGHT * Math.max(0, dearness(this.picture, g, s.type, s.spot) - 1)),
+        );
+    const rank = finish + waste(spec, s, finish) + dear + extra + avoid;
+    if (rank >= bound) return null;
+    const count = Math.max(1, timesFits(spec, this.room));
+    return { seat, rentable, start, finish, count, rank, warm: fetch === 0 };
+  }
+
+  /**
+   * Visits the places where `g`'s tasks could go. `visit` is called with a place only if its rank is below
+   * the bound that its last call returned. `enough` alike places are visited, no more.
+   */
+  eachOption(
+    g: Group,
+    zoneAllowed: (zone: string) => boolean,
+    enough: number,
+    visit: (o: Option) => Micros,
+  ): void {
+    const { spec } = g;
+    const k = gpuKind(spec);
+    let bound = Infinity;
+    if (g.only !== null) {
+      for (const name of g.only) {
+        const seat = this.seatByMachine.get(name);
+        if (seat === undefined) continue;
+        const { slot: s } = seat;
+        if (!placeAllowed(spec, s.type.name, s.zone, s.spot) || !zoneAllowed(s.zone)) continue;
+        const o = this.offer(g, seat, null, bound);
+        if (o !== null) bound = visit(o);
+      }
+      return;
+    }
+    if (this.seen.length < this.alikes.size) this.seen = new Int32Array(this.alikes.size * 2);
+    else this.seen.fill(0);
+    const { seen } = this;
+    const likeness = g.avoid.size === 0;
+    for (const p of this.pools.values()) {
+      if (!placeAllowed(spec, p.type.name, p.zone, p.spot) || !fits(spec, p.type)) continue;
+      if (!zoneAllowed(p.zone)) continue;
+      const seats = p.byFloor[k];
+      const sorted = p.sorted[k];
+      // Machines slower than their type only take longer, never less.
+      const least = this.duration(g, { type: p.type, slow: 1 });
+      for (let i = 0; i < seats.length; i++) {
+        if (sorted[i]! + least >= bound) {
+          // Rented ones stand behind the sorted ones, and are few.
+          while (i + 1 < seats.length && sorted[i + 1] !== UNSORTED) i++;
+          continue;
+        }
+        const seat = seats[i]!;
+        if (seat.floor[k] + least >= bound) continue;
+        if (likeness && seat.alike >= 0) {
+          if (seen[seat.alike]! >= enough) continue;
+          const o = this.offer(g, seat, null, bound);
+          if (o === null) {
+            // What the first of them can't offer, the others can't either.
+            seen[seat.alike] = enough;
+            continue;
+          }
+          seen[seat.alike] = seen[seat.alike]! + o.count;
+          bound = visit(o);
+          continue;
+        }
+        const o = this.offer(g, seat, null, bound);
+        if (o !== null) bound = visit(o);
+      }
+    }
+    for (const r of this.picture.rentable) {
+      if (!placeAllowed(spec, r.type.name, r.zone, r.spot) || !fits(spec, r.type)) continue;
+      if (!zoneAllowed(r.zone)) continue;
+      const o = this.offerRented(g, r, bound);
+      if (o !== null) bound = visit(o);
+    }
+  }
+
+  /** Whether `wanted` tasks of the group have room at this moment. Looks only where there may be any. */
+  hasRoomNow(g: Group, zone: string | null, wanted: number): boolean {
+    const { spec } = g;
+    const { now } = this.picture;
+    const k = gpuKind(spec);
+    let room = 0;
+    for (const p of this.pools.values()) {
+      if (!placeAllowed(spec, p.type.name, p.zone, p.spot) || !fits(spec, p.type)) continue;
+      if (zone !== null && p.zone !== zone) continue;
+      const seats = p.byFloor[k];
+      const sorted = p.sorted[k];
+      for (let i = 0; i < seats.length && sorted[i]! <= now; i++) {
+        const seat = seats[i]!;
+        if (seat.floor[k] > now || seat.slot.machine === null) continue;
+        if (g.only !== null && !g.only.has(seat.slot.machine)) continue;
+        room += timesFits(spec, seat.slot.free);
+        if (room >= wanted) return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether a machine could be rented for the group. */
+  mayRent(g: Group): boolean {
+    const { spec } = g;
+    return this.picture.rentable.some(
+      (r) =>
+        placeAllowed(spec, r.type.name, r.zone, r.spot) &&
+        fits(spec, r.type) &&
+        (this.picture.rented.get(r) ?? 0) < r.limit,
+    );
+  }
+
+  offerRented(g: Group, r: Rentable, bound: Micros): Option | null {
+    if ((this.picture.rented.get(r) ?? 0) >= r.limit) return null;
+    return this.offer(g, this.virtualSeat(r), r, bound);
+  }
+}
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,4 +1,5 @@
 /** Machines, their sessions, and the attempts that are or may be on them. */
+import type { Slot } from './board.js';
 import type { ActiveJob } from './jobs.js';
 import type { Micros, Order, Report } from './model.js';
 import type { Amounts } from './room.js';
@@ -70,6 +71,10 @@
   lastListed: Micros | null = null;
   rentedAt: Micros;
   deleting = false;
+  /** Counts what changes its place in the picture; the slot made of it is kept until then. */
+  changes = 0;
+  private freed: { changes: number; total: Readonly<Amounts>; free: Amounts } | null = null;
+  pictured: { readonly changes: number; readonly at: Micros; readonly slot: Slot } | null = null;
 
   constructor(
     readonly name: string,
@@ -92,6 +97,13 @@
 
   /** Room left when everything counts that is or may be there. */
   freeOf(total: Readonly<Amounts>): Amounts {
+    if (this.freed?.changes !== this.changes || this.freed.total !== total)
+      this.freed = { changes: this.changes, total, free: this.countFree(total) };
+    const { cores, gpus, memoryGb } = this.freed.free;
+    return { cores, gpus, memoryGb };
+  }
+
+  private countFree(total: Readonly<Amounts>): Amounts {
     const free = { cores: total.cores, gpus: total.gpus, memoryGb: total.memoryGb };
     for (const a of this.attempts.values()) {
       free.cores -= a.job.spec.cores;
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -38,6 +38,8 @@
   constructor(
     readonly settings: Settings,
     readonly stopwatch: () => Micros,
+    /** Whether decisions are logged. */
+    readonly verbose = true,
   ) {}
 
   get wallNow(): Micros {
@@ -52,7 +54,10 @@
     this.out.push({ kind: 'log', level: 'info', event, fields });
   }
 
-  debug(event: string, fields: LogFields = {}): void {
+  /** Fields that cost something to gather are given as a function. */
+  debug(event: string, given: LogFields | (() => LogFields) = {}): void {
+    if (!this.verbose) return;
+    const fields = typeof given === 'function' ? given() : given;
     this.out.push({ kind: 'log', level: 'debug', event, fields });
   }
 
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -15,8 +15,8 @@
   private scheduler: Scheduler | null = null;
   private savedTypes = false;
 
-  constructor(settings: Settings, stopwatch: () => Micros) {
-    this.ctx = new Context(settings, stopwatch);
+  constructor(settings: Settings, stopwatch: () => Micros, verbose = true) {
+    this.ctx = new Context(settings, stopwatch, verbose);
     this.desk = new Desk(this.ctx);
     this.leadership = new Leadership(
       this.ctx,
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -5,7 +5,7 @@
 import type { Context } from './context.js';
 import { activeKey, endedKey } from './keys.js';
 import type { Condition, JobSpec, JobView, PeerMessage, Stage, UserAnswer, UserRequest } from './model.js';
-import { MILLI } from './model.js';
+import { MILLI, SECOND, type Micros } from './model.js';
 import { fitsSomewhere } from './room.js';
 import { activeRecord, endedFromActive, readActive, readEnded } from './records.js';
 
@@ -15,8 +15,10 @@
 type Found = Known | { readonly kind: 'none' } | { readonly kind: 'unknown' };
 
 const MAX_CACHED = 20_000;
-/** Polls arriving within this time share one request. */
+/** Polls arriving within this time share one request, or for longer where requests are scarce. */
 const GATHER_US = 30 * MILLI;
+/** Share of all requests that one node's validations of polls may take. */
+const POLL_SHARE = 0.06;
 
 /** A poll that waits for validation. */
 interface Waiter {
@@ -29,7 +31,11 @@
   private waiting = new Map<string, Waiter[]>();
   private validating = false;
 
-  constructor(private readonly ctx: Context) {}
+  private readonly gatherUs: Micros;
+
+  constructor(private readonly ctx: Context) {
+    this.gatherUs = Math.max(GATHER_US, Math.round(SECOND / (POLL_SHARE * ctx.settings.stateRps)));
+  }
 
   handle(request: number, body: UserRequest): void {
     switch (body.kind) {
@@ -139,7 +145,7 @@
     else w.push({ request });
     if (!this.validating) {
       this.validating = true;
-      this.ctx.after(GATHER_US, () => {
+      this.ctx.after(this.gatherUs, () => {
         this.validate();
       });
     }
@@ -185,7 +191,7 @@
         for (const waiters of batch.values())
           for (const w of waiters) this.answer(w.request, this.unavailable('state service not answering'));
       }
-      if (this.waiting.size > 0) this.ctx.after(GATHER_US, () => this.validate());
+      if (this.waiting.size > 0) this.ctx.after(this.gatherUs, () => this.validate());
       else this.validating = false;
     });
   }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -3,7 +3,8 @@
 import type { Machine } from './cluster.js';
 import type { CloudReply, JobSpec, ListedMachine, Micros } from './model.js';
 import { SECOND } from './model.js';
-import type { Decision, Group, Rentable } from './search.js';
+import type { Group, Rentable } from './board.js';
+import type { Decision } from './search.js';
 import { typeAllowed } from './room.js';
 
 interface Offer {
@@ -247,7 +248,13 @@
   private listFrom(after: string, seen: ListedMachine[], began: Micros): void {
     this.ctx.cloud({ kind: 'list', after, limit: PAGE }, 2, (r) => {
       if (!this.host.active()) return;
-      const every = Math.max(4 * SECOND, Math.ceil((6 * SECOND) / Math.max(this.ctx.settings.cloudRps, 0.1)));
+      // No more often than the list changes, nor than leaves calls for renting and returning.
+      const pages = 1 + Math.floor(seen.length / PAGE);
+      const every = Math.max(
+        4 * SECOND,
+        this.ctx.settings.listLagUs,
+        Math.ceil((6 * SECOND * pages) / Math.max(this.ctx.settings.cloudRps, 0.1)),
+      );
       if (r.kind === 'listed') {
         seen.push(...r.machines);
         const last = r.machines.at(-1);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -10,7 +10,7 @@
   readonly durable: Bits;
   readonly live = new Map<number, Attempt>();
   /** Machines on record as possibly holding tasks of this job: written before the first start there. */
-  readonly placedOn = new Set<string>();
+  placedOn = new Set<string>();
   /** Machines that may still hold tasks from before this term, until they prove otherwise. */
   readonly unresolved = new Set<string>();
   /** Progress that is safe outside the machines: by task, or for the whole gang under -1. */
@@ -24,6 +24,10 @@
   /** A member of the gang's attempt is lost: the others are being stopped. */
   broken = false;
   dirty = false;
+  /** Its progress has keys of its own. */
+  ownKeys = false;
+  /** Its record of places can't be read: none of its tasks may be started. */
+  unreadable = false;
   startedOnce = false;
   /** Room is being made for it until then. */
   promisedUntil: Micros = 0;
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -157,6 +157,8 @@
   readonly searchWidth: number;
   /** Waiting groups played out to completion behind each candidate. */
   readonly searchDepth: number;
+  /** Waiting groups that one plan places, with and without GPUs each; the rest wait for the next. */
+  readonly searchGroups: number;
   /** Makespans closer than this count as equal. */
   readonly searchToleranceUs: Micros;
   /** How long starts pause on machines that drain for the oldest task. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -13,10 +13,10 @@
   endedKey,
   JOBS,
   LEAD,
-  machineKey,
   MACHINES,
+  PLACES,
   PROGRESS,
-  progressKey,
+  ROSTER,
   TIMINGS,
   TYPES,
 } from './keys.js';
@@ -36,16 +36,12 @@
   WorkerAnswer,
 } from './model.js';
 import { MILLI, SECOND } from './model.js';
-import {
-  endedFromActive,
-  readActive,
-  readMachine,
-  readProgress,
-  type MachineRecord,
-  type ProgressRecord,
-} from './records.js';
+import { ProgressBook } from './progress.js';
+import { endedFromActive, readActive } from './records.js';
+import { Roster } from './roster.js';
 import { fits, placeAllowed } from './room.js';
-import { search, type Group, type Picture, type Slot, type Step } from './search.js';
+import type { Change, Group, Picture, Slot, Step } from './board.js';
+import { search } from './search.js';
 import { latestStart, orderByAims, type Contender } from './aims.js';
 import { victimsFor, type Rights } from './preemption.js';
 import { guaranteedJobs, turnOrder, Usage } from './teams.js';
@@ -57,7 +53,12 @@
 const ATTEMPTS_PER_TERM = 2 ** 24;
 /** Tasks of one job that a play-out represents. */
 const MAX_REPRESENTED = 160;
-const MAX_GROUPS = 60;
+/** Plans pause for this many times what the last one took: users and workers must get through between. */
+const PLAN_PAUSE = 6;
+/** How long a machine's slot is kept in the picture while nothing changes there. */
+const PICTURE_FRESH = 2_500 * MILLI;
+/** Jobs for which one plan looks for work to preempt. */
+const MAX_CLEARINGS = 6;
 const MAX_ORDERS = 400;
 
 export class Scheduler implements FleetHost {
@@ -66,6 +67,8 @@
   private readonly jobs = new Map<string, ActiveJob>();
   private readonly writer: Writer;
   private readonly fleet: Fleet;
+  private readonly progress: ProgressBook;
+  private readonly roster: Roster;
   private readonly timings = new Timings();
   private ready = false;
   private stopped = false;
@@ -81,6 +84,7 @@
   private needed: ReadonlySet<string> = new Set();
   private readonly told = new Map<string, string>();
   private timingsNoted = 0;
+  private readonly early = new Map<Machine, Report>();
   /** Machines that are gone for good: lists older than that still name them. */
   private readonly buried = new Map<string, Micros>();
 
@@ -97,6 +101,11 @@
       leadership.lose('fenced');
     });
     this.fleet = new Fleet(ctx, this);
+    const find = (name: string): Machine | undefined => this.machinesByName.get(name);
+    this.progress = new ProgressBook(ctx, this.writer, (id) => this.jobs.get(id), find);
+    this.roster = new Roster(this.writer, ctx.settings.valueBytes - 512, find, (key) => {
+      ctx.error('roster.unreadable', { key });
+    });
   }
 
   start(): void {
@@ -127,19 +136,32 @@
 
   // ---- taking over -------------------------------------------------------------------------------
 
+  /** Six reads at any size: the records come in pages. */
   private load(): void {
-    this.listAll(JOBS, (jobs, revision) => {
-      this.listAll(PROGRESS, (progress) => {
-        this.listAll(MACHINES, (machines) => {
-          this.ctx.state({ kind: 'get', key: TIMINGS }, 2, (t) => {
-            if (this.stopped) return;
-            if (t.kind === 'item') this.timings.seed(t.item.value);
-            this.rebuild(jobs, progress, machines);
-            this.watch(revision);
-          });
+    const lists = new Map<string, Item[]>();
+    const prefixes = [JOBS, PLACES, ROSTER, PROGRESS, MACHINES];
+    let revision = 0;
+    const next = (i: number): void => {
+      const prefix = prefixes[i];
+      if (prefix !== undefined) {
+        this.listAll(prefix, (items, rev) => {
+          if (i === 0) revision = rev;
+          lists.set(prefix, items);
+          next(i + 1);
         });
+        return;
+      }
+      this.ctx.state({ kind: 'get', key: TIMINGS }, 2, (t) => {
+        if (this.stopped) return;
+        if (t.kind === 'item') {
+          this.timings.seed(t.item.value);
+          this.writer.know(TIMINGS, t.item.version);
+        }
+        this.rebuild((p) => lists.get(p) ?? []);
+        this.watch(revision);
       });
-    });
+    };
+    next(0);
   }
 
   private listAll(prefix: string, then: (items: Item[], revision: number) => void): void {
@@ -168,39 +190,25 @@
     page(undefined);
   }
 
-  private rebuild(jobs: readonly Item[], progress: readonly Item[], machines: readonly Item[]): void {
-    for (const it of machines) {
-      const rec = readMachine(it.value);
-      const name = it.key.slice(MACHINES.length);
-      if (rec === null) continue;
+  private rebuild(read: (prefix: string) => readonly Item[]): void {
+    for (const [name, rec] of this.roster.load(read(ROSTER), read(MACHINES))) {
       const m = this.machinesByName.get(name) ?? this.addMachine(name, rec);
       m.recorded = 'yes';
       m.standing = rec.standing;
       // An older leader may have renewed its lease, and put tasks on it, until our office began.
       m.leaseFrom = Math.max(m.leaseFrom, this.office.since);
-      if (m.seenToken < this.tokenOf(m)) m.unresolved = true;
+      m.unresolved = true;
       if (rec.retiring) this.retire(m, 'was retiring');
     }
-    for (const it of jobs) this.addJob(it.key.slice(JOBS.length), it.value, it.version, false);
-    for (const it of progress) {
-      const [id, segment] = it.key.slice(PROGRESS.length).split('/');
-      const job = this.jobs.get(id!);
-      const rec = readProgress(it.value);
-      if (job === undefined) {
-        this.writer.write({ kind: 'delete', key: it.key });
-        continue;
-      }
-      if (rec === null) continue;
-      const from = Number(segment ?? 0) * this.segmentBytes();
-      job.done.merge(from, rec.bits);
-      job.durable.merge(from, rec.bits);
-      for (const name of rec.machines) {
-        job.placedOn.add(name);
-        if (this.machinesByName.get(name)?.unresolved === true) job.unresolved.add(name);
-      }
-      job.startedOnce = rec.machines.length > 0;
-    }
+    this.roster.adopt(read(MACHINES), (name) => this.machinesByName.get(name));
+    for (const it of read(JOBS)) this.addJob(it.key.slice(JOBS.length), it.value, it.version, false);
+    this.progress.load(read(PLACES), read(PROGRESS), this.jobs.values(), this.roster.whole);
     this.ready = true;
+    // Reports that came while the records were being read. A machine that sent one is not empty for that:
+    // its tasks were once started anew elsewhere (ran_twice on a grown krakow day).
+    for (const [m, r] of this.early) if (this.machinesByName.get(m.name) === m) this.takeTasks(m, r);
+    this.early.clear();
+    for (const m of this.machinesByName.values()) if (m.up) this.record(m);
     this.ctx.info('leader.ready', {
       term: this.term,
       jobs: this.jobs.size,
@@ -211,10 +219,6 @@
     this.planSoon();
   }
 
-  private segmentBytes(): number {
-    return Math.floor(((this.ctx.settings.valueBytes - 4096) * 3) / 4);
-  }
-
   private watch(after: number): void {
     this.ctx.state({ kind: 'watch', prefix: JOBS, after, waitMs: 8_000 }, 0, (r) => {
       if (this.stopped) return;
@@ -276,17 +280,11 @@
     job.cancelled = true;
     this.ctx.info('job.withdrawn', { job: job.id, live: job.live.size });
     for (const a of [...job.live.values()]) this.stopAttempt(a, 0);
-    this.dropProgress(job);
+    this.progress.drop(job);
     this.dropIfEmpty(job);
     this.planSoon();
   }
 
-  private dropProgress(job: ActiveJob): void {
-    if (job.placedOn.size === 0 && job.durable.count === 0) return;
-    const segments = Math.max(1, Math.ceil(job.done.bytes.length / this.segmentBytes()));
-    for (let s = 0; s < segments; s++) this.writer.write({ kind: 'delete', key: progressKey(job.id, s) });
-  }
-
   private dropIfEmpty(job: ActiveJob): void {
     if (job.phase !== 'ended' || job.live.size > 0) return;
     this.jobs.delete(job.id);
@@ -316,7 +314,7 @@
           job.phase = 'ended';
           this.desk.noteEnded(job.id, 'done', job.spec.tasks);
           this.ctx.info('job.done', { job: job.id, afterS: (this.ctx.wallNow - job.at) / SECOND });
-          this.dropProgress(job);
+          this.progress.drop(job);
           this.dropIfEmpty(job);
           return;
         }
@@ -366,21 +364,11 @@
     return m;
   }
 
-  private machineRecord(m: Machine): MachineRecord {
-    return {
-      address: m.address,
-      type: m.type,
-      zone: m.zone,
-      spot: m.spot,
-      retiring: m.retiring !== null,
-      standing: m.standing,
-    };
-  }
-
   private record(m: Machine): void {
-    if (m.recorded !== 'no') return;
+    // Before the roster is read, its pages would be overwritten.
+    if (m.recorded !== 'no' || !this.ready) return;
     m.recorded = 'writing';
-    this.writer.write({ kind: 'put', key: machineKey(m.name), value: this.machineRecord(m) }, () => {
+    this.roster.put(m, () => {
       m.recorded = 'yes';
       this.planSoon();
     });
@@ -418,7 +406,7 @@
     m.unresolved = false;
     m.retiring ??= reason;
     for (const a of [...m.attempts.values()]) this.endAttempt(a, null);
-    if (m.recorded !== 'no') this.writer.write({ kind: 'delete', key: machineKey(m.name) });
+    this.roster.drop(m);
     this.planSoon();
   }
 
@@ -429,7 +417,7 @@
     m.retiring ??= reason;
     this.ctx.info('machine.retire', { machine: m.name, reason, tasks: m.attempts.size });
     m.recorded = 'writing';
-    this.writer.write({ kind: 'put', key: machineKey(m.name), value: this.machineRecord(m) }, () => {
+    this.roster.put(m, () => {
       m.recorded = 'yes';
       this.fleet.remove(m.name);
     });
@@ -468,6 +456,7 @@
       for (const a of [...m.attempts.values()]) if (a.session < r.session) this.endAttempt(a, null);
       m.session = r.session;
       m.images.clear();
+      m.changes++;
     }
     m.seq = r.seq;
     m.seenToken = Math.max(m.seenToken, r.token);
@@ -488,8 +477,14 @@
       m.notice = noticed;
       this.planSoon();
     } else if (noticed === null) m.notice = null;
-    if (!this.ready) return;
+    if (!this.ready) {
+      this.early.set(m, r);
+      return;
+    }
+    this.takeTasks(m, r);
+  }
 
+  private takeTasks(m: Machine, r: Report): void {
     if (m.unresolved && r.token >= this.term * TOKENS_PER_TERM) {
       // Fenced from every older leader: what it lists is all there can be.
       m.unresolved = false;
@@ -556,6 +551,7 @@
     this.ctx.debug('attempt.adopted', { job: job.id, task: t.index, machine: m.name, attempt: t.attempt });
     job.live.set(t.index, a);
     m.attempts.set(attemptKey(job.id, t.index), a);
+    m.changes++;
     return a;
   }
 
@@ -563,6 +559,7 @@
     if (t.state === 'exited' || a.state === t.state) return;
     this.ctx.debug('attempt.state', { job: a.job.id, task: a.index, machine: m.name, state: t.state });
     a.state = t.state;
+    m.changes++;
     if (t.state === 'running' && a.runningAt === null) a.runningAt = this.ctx.now;
     if (t.state !== 'fetching') this.holdImage(m, a.job.spec);
     this.planSoon();
@@ -613,6 +610,7 @@
     const key = attemptKey(job.id, a.index);
     if (m.attempts.get(key) !== a) return;
     m.attempts.delete(key);
+    m.changes++;
     if (job.live.get(a.index) === a) job.live.delete(a.index);
     if (m.attempts.size === 0) m.idleSince = this.ctx.now;
     job.reopen(a.index);
@@ -743,6 +741,7 @@
       return;
     }
     a.stopping = { since: this.ctx.now, graceUs };
+    a.machine.changes++;
     this.ctx.debug('attempt.stop', { job: a.job.id, task: a.index, machine: a.machine.name, graceUs });
     a.machine.outbox.push({ op: 'stop', job: a.job.id, index: a.index, attempt: a.no, graceUs });
     this.pump(a.machine);
@@ -825,7 +824,10 @@
     }
     this.planning = true;
     // Events that come together are planned for together.
-    const gap = Math.max(15 * MILLI, this.lastPlan + Math.max(80 * MILLI, 3 * this.planCost) - this.ctx.now);
+    const gap = Math.max(
+      15 * MILLI,
+      this.lastPlan + Math.max(80 * MILLI, PLAN_PAUSE * this.planCost) - this.ctx.now,
+    );
     this.ctx.after(gap, () => {
       this.planning = false;
       this.planAgain = false;
@@ -843,12 +845,30 @@
     );
   }
 
+  /** Kept from plan to plan while nothing changes on the machine, for as long as predictions stay fresh. */
   private slotOf(m: Machine, type: MachineType, thrifty: boolean): Slot | null {
     const booting = !m.up && m.retiring === null && !m.unresolved && m.session === 0;
     if (!booting && !m.usable()) return null;
+    const { now } = this.ctx;
+    const kept = m.pictured;
+    if (
+      !booting &&
+      kept !== null &&
+      kept.changes === m.changes &&
+      now - kept.at < PICTURE_FRESH &&
+      kept.slot.type === type &&
+      (kept.slot.changes[0]?.at ?? Infinity) > now + 100 * MILLI
+    )
+      return { ...kept.slot, sunk: m.standing || !thrifty, ready: now };
+    const slot = this.makeSlot(m, type, thrifty, booting);
+    if (!booting) m.pictured = { changes: m.changes, at: now, slot: { ...slot } };
+    return slot;
+  }
+
+  private makeSlot(m: Machine, type: MachineType, thrifty: boolean, booting: boolean): Slot {
     const { now } = this.ctx;
     const images = new Set(m.images.keys());
-    const changes: Slot['changes'] = [];
+    const changes: Change[] = [];
     for (const a of m.attempts.values()) {
       images.add(a.job.spec.image);
       const left =
@@ -915,6 +935,7 @@
 
   private startable(job: ActiveJob): boolean {
     if (job.phase !== 'active' || job.broken || job.complete || job.waiting <= 0) return false;
+    if (job.unreadable) return false;
     if (job.notBefore > this.ctx.now) return false;
     if (job.spec.shape === 'gang' && job.live.size > 0) return false;
     for (const name of job.unresolved) if (this.machinesByName.get(name)?.unresolved === true) return false;
@@ -1018,10 +1039,13 @@
     const jobs = new Map<Group, ActiveJob>();
     const groups: Group[] = [];
     const order = this.inOrder();
-    const lowest = Math.min(...order.map((j) => j.spec.priority));
+    const lowest = order.reduce((least, j) => Math.min(least, j.spec.priority), 3);
+    // Work with and without GPUs is limited apart: many waiting gangs must not keep arrays from the plan.
+    const taken = [0, 0];
     for (const job of order) {
-      if (groups.length >= MAX_GROUPS) break;
       const { spec } = job;
+      const kind = spec.gpus > 0 ? 1 : 0;
+      if (taken[kind]! >= this.ctx.settings.tuning.searchGroups) continue;
       const team = this.ctx.settings.teams.find((t) => t.name === spec.team);
       const limited = team !== undefined && (team.coresMax > 0 || team.gpusMax > 0);
       if (limited && unaccounted) continue;
@@ -1048,6 +1072,7 @@
       };
       jobs.set(group, job);
       groups.push(group);
+      taken[kind]!++;
     }
     return { groups, jobs };
   }
@@ -1133,6 +1158,7 @@
         steps: decision.steps.length,
         searched: decision.searched,
         fellBack: decision.fellBack,
+        looks: decision.looks,
       });
   }
 
@@ -1151,14 +1177,29 @@
     return { teams, use, guaranteed: (job) => inside.has(job) };
   }
 
+  private lowestRunning(): number {
+    let lowest = 3;
+    for (const m of this.machinesByName.values())
+      for (const a of m.attempts.values()) lowest = Math.min(lowest, a.job.spec.priority);
+    return lowest;
+  }
+
   /** Stops what work of higher priority, or a guarantee, has a right to, if it would wait much longer. */
   private preempt(byJob: ReadonlyMap<ActiveJob, readonly Step[]>): void {
+    // Looking for victims goes through all machines: only where there may be some, and a few times a plan.
+    const { teams } = this.ctx.settings;
+    const guarantees = teams.length > 1 && teams.some((t) => t.cores > 0 || t.gpus > 0);
+    const lowest = this.lowestRunning();
     let rights: Rights | null = null;
     let made = 0;
+    let tries = 0;
     for (const [job, steps] of byJob) {
-      if (made >= 3 || job.live.size > 0 || job.phase !== 'active') continue;
+      if (made >= 3 || tries >= MAX_CLEARINGS) break;
+      if (job.live.size > 0 || job.phase !== 'active') continue;
+      if (!guarantees && job.spec.priority <= lowest) continue;
       const start = Math.max(...steps.map((s) => s.start));
       if (start <= this.ctx.now + 8 * SECOND) continue;
+      tries++;
       rights ??= this.rights();
       const count = job.spec.shape === 'gang' ? job.spec.tasks : Math.min(job.waiting, 16);
       const clearing = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
@@ -1168,7 +1209,10 @@
       made++;
       // What is being freed is for this job: others must not slip in before all of it is there.
       job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 6 * SECOND;
-      this.ctx.debug('preempt', { job: job.id, victims: victims.map((v) => `${v.job.id}/${v.index}`) });
+      this.ctx.debug('preempt', () => ({
+        job: job.id,
+        victims: victims.map((v) => `${v.job.id}/${v.index}`),
+      }));
       for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
     }
   }
@@ -1233,10 +1277,13 @@
   private act(job: ActiveJob, steps: readonly Step[]): void {
     const { now } = this.ctx;
     const startsNow = steps.filter((s) => s.start <= now && s.slot.machine !== null);
+    if (startsNow.length === 0) return;
     if (job.spec.shape === 'gang' && startsNow.length !== steps.length) return;
     const chosen: { index: number; machine: Machine }[] = [];
     const free = new Map<Machine, ReturnType<Machine['freeOf']>>();
     const zones = job.zones();
+    const machines = new Set<Machine>();
+    const mostMachines = this.progress.placesLeft(job);
     for (const s of startsNow) {
       const m = this.machinesByName.get(s.slot.machine!);
       const type = this.ctx.types.get(s.slot.type.name);
@@ -1246,6 +1293,7 @@
       free.set(m, room);
       for (let k = 0; k < s.count; k++) {
         if (!fits(job.spec, room)) break;
+        if (!machines.has(m) && machines.size >= mostMachines) break;
         if (job.spec.sameZone && [...zones.keys()].some((z) => z !== m.zone)) break;
         if (job.spec.spread && (zones.get(m.zone) ?? 0) >= Math.ceil(job.spec.tasks / 2)) break;
         zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
@@ -1253,6 +1301,7 @@
         room.gpus -= job.spec.gpus;
         room.memoryGb -= job.spec.memoryGb;
         chosen.push({ index: -1, machine: m });
+        machines.add(m);
       }
     }
     if (chosen.length === 0) return;
@@ -1286,15 +1335,16 @@
       job.live.set(index, a);
       machine.attempts.set(attemptKey(job.id, index), a);
       machine.idleSince = this.ctx.now;
+      machine.changes++;
       attempts.push(a);
     }
     job.startedOnce = true;
-    this.ctx.debug('job.start', {
+    this.ctx.debug('job.start', () => ({
       job: job.id,
       tasks: places.map((p) => `${p.index}@${p.machine.name}`),
       attempt: this.nextAttempt,
       waitedS: (this.ctx.wallNow - job.at) / SECOND,
-    });
+    }));
     // A job's places are on record before anything is sent there: a new leader then knows which
     // machines may hold its tasks, and waits for no others.
     const missing = attempts.some((a) => !job.placedOn.has(a.machine.name));
@@ -1302,47 +1352,11 @@
       for (const a of attempts) this.launch(a);
     };
     if (!missing) send();
-    else {
-      const names = new Set(attempts.map((a) => a.machine.name));
-      this.writeProgress(job, names, send);
-    }
+    else this.progress.place(job, send);
   }
 
   // ---- progress ----------------------------------------------------------------------------------
 
-  private readonly placing = new Map<string, Set<string>>();
-
-  private writeProgress(job: ActiveJob, more: ReadonlySet<string>, then: () => void = () => undefined): void {
-    const placing = this.placing.get(job.id) ?? new Set<string>();
-    for (const n of more) placing.add(n);
-    this.placing.set(job.id, placing);
-    // Machines that are gone for good need no place on record any more.
-    const machines = [...new Set([...job.placedOn, ...placing])].filter(
-      (n) => placing.has(n) || this.machinesByName.has(n),
-    );
-    const size = this.segmentBytes();
-    const segments = Math.max(1, Math.ceil(job.done.bytes.length / size));
-    const counted = job.done.bytes.slice();
-    job.dirty = false;
-    for (let s = 0; s < segments; s++) {
-      const bits = job.done.encode(s * size, (s + 1) * size);
-      if (s > 0 && bits === '') continue;
-      const value: ProgressRecord = { machines: s === 0 ? machines : [], bits };
-      this.writer.write({ kind: 'put', key: progressKey(job.id, s), value }, () => {
-        if (s === 0) for (const n of machines) job.placedOn.add(n);
-        const from = s * size * 8;
-        const to = Math.min(job.spec.tasks, (s + 1) * size * 8);
-        for (let i = from; i < to; i++) if ((counted[i >> 3]! & (1 << (i & 7))) !== 0) job.durable.add(i);
-        if (s === 0) then();
-      });
-    }
-  }
-
-  private flushProgress(): void {
-    for (const job of this.jobs.values())
-      if (job.dirty && job.phase === 'active') this.writeProgress(job, new Set());
-  }
-
   /** Counts for display, to the other nodes and to this one's desk. */
   private tell(): void {
     const notes: ProgressNote[] = [];
@@ -1389,22 +1403,31 @@
     this.checkGangs();
     if (this.ctx.now - this.lastFlush >= this.ctx.settings.tuning.progressUs) {
       this.lastFlush = this.ctx.now;
-      this.flushProgress();
+      this.progress.flush(this.jobs.values());
     }
     if (this.sweeps % 2 === 0) this.tell();
     if (this.sweeps % 60 === 0 && this.timingsNoted > 0) {
       this.timingsNoted = 0;
       const value = this.timings.summary();
       if (JSON.stringify(value).length < this.ctx.settings.valueBytes - 256)
-        this.writer.write({ kind: 'put', key: TIMINGS, value });
+        this.writer.put(
+          TIMINGS,
+          () => value,
+          () => undefined,
+        );
     }
     if (this.sweeps % 4 === 0 || this.planAgain) this.planSoon();
     if (this.sweeps % 6 === 0 && entitled && this.thrifty()) this.consolidate();
+    if (this.sweeps % 40 === 0) {
+      this.roster.tidy();
+      this.progress.tidy();
+    }
     if (this.sweeps % 20 === 0) this.summarise();
   }
 
   /** For operators: where room is, and who waits for it. */
   private summarise(): void {
+    if (!this.ctx.verbose) return;
     const fleet: Record<string, { up: number; booting: number; cores: number; gpus: number; tasks: number }> =
       {};
     for (const m of this.machinesByName.values()) {
@@ -1457,7 +1480,8 @@
    * than its lease. Not so when much is silent at once: then the network is at fault, or this node.
    */
   private checkSilence(): void {
-    const { silentUs } = this.ctx.settings.tuning;
+    // Two reports may be late or lost before a machine is suspected.
+    const silentUs = Math.max(this.ctx.settings.tuning.silentUs, 2.5 * this.ctx.settings.reportUs);
     const zones = new Map<string, { all: number; silent: number }>();
     let up = 0;
     let quiet = 0;
@@ -1494,6 +1518,11 @@
 
   /** Types are kept in the state service for nodes that start while the cloud is out. */
   saveTypes(types: readonly MachineType[]): void {
-    this.writer.write({ kind: 'put', key: TYPES, value: types });
+    this.writer.put(
+      TYPES,
+      () => types,
+      () => undefined,
+      false,
+    );
   }
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,7 +3,7 @@
 import { Command, CommanderError } from 'commander';
 import { Effect, Layer } from 'effect';
 import type { Item, Settings, StateReply } from './core/model.js';
-import { JOBS, LEAD, MACHINES } from './core/keys.js';
+import { JOBS, LEAD, ROSTER } from './core/keys.js';
 import { Clients, ClientsLive } from './runtime/clients.js';
 import { LogLive } from './runtime/log.js';
 import { runNode } from './runtime/node.js';
@@ -87,7 +87,7 @@
   show(o, JOBS);
 });
 withFiles('machines', 'list the machines on record').action((o: FileOptions) => {
-  show(o, MACHINES);
+  show(o, ROSTER);
 });
 
 // For the build only: runs what a start runs, so that the code cache holds it compiled.
--- a/src/runtime/clients.ts
+++ b/src/runtime/clients.ts
@@ -40,11 +40,30 @@
 const ORDERS_TIMEOUT: Micros = 2_500 * MILLI;
 const PEER_TIMEOUT: Micros = 2 * SECOND;
 
-/** The nodes share the budgets without asking each other: the leader, which needs most, gets most. */
-const LEADER_SHARE = 0.6;
-const OTHERS_SHARE = 0.36;
-const shares = (s: Settings, leader: boolean): number =>
-  s.members === 1 ? 0.95 : leader ? LEADER_SHARE : OTHERS_SHARE / (s.members - 1);
+/**
+ * The nodes share the budgets without asking each other. Requests are mostly users' polls, which come to
+ * all nodes alike; renewals of leases count among them, so their shares stay within the whole. Shares of
+ * changes add up to more than the whole: the nodes seldom need them at once, and what the service turns
+ * away is tried again. Only the leader calls the cloud, but for the machine types at the start.
+ */
+interface Shares {
+  readonly requests: number;
+  readonly changes: number;
+  readonly cloud: number;
+}
+const ALONE: Shares = { requests: 0.95, changes: 0.95, cloud: 0.95 };
+const shares = (s: Settings, leader: boolean): Shares => {
+  const others = s.members - 1;
+  if (others <= 0) return ALONE;
+  return leader
+    ? { requests: 0.4, changes: 0.65, cloud: 0.9 }
+    : { requests: 0.55 / others, changes: 0.7 / others, cloud: 0.1 / others };
+};
+
+/** How long a call that was turned away for the budget is tried again, by urgency. */
+const RETRY_FOR: Record<Urgency, Micros> = { 0: 2 * SECOND, 1: 900 * MILLI, 2: 4 * SECOND };
+/** Idle connections to workers are closed: at a thousand machines they would use up the sockets. */
+const WORKER_IDLE_MS = 4_000;
 
 const admitted = (limiter: Limiter, urgency: Urgency, writes: number): Effect.Effect<boolean> =>
   Effect.async<boolean>((resume) => {
@@ -55,12 +74,16 @@
 
 const make = (settings: Settings): ClientsService => {
   const share = shares(settings, false);
-  const stateLimiter = new Limiter(settings.stateRps * share, settings.stateWriteRps * share, steadyNow);
-  const cloudLimiter = new Limiter(settings.cloudRps * share, 1, steadyNow);
+  const stateLimiter = new Limiter(
+    settings.stateRps * share.requests,
+    settings.stateWriteRps * share.changes,
+    steadyNow,
+  );
+  const cloudLimiter = new Limiter(settings.cloudRps * share.cloud, 1, steadyNow);
   const stateAgent = makeAgent(16);
   const watchAgent = makeAgent(4);
   const cloudAgent = makeAgent(4);
-  const workerAgent = makeAgent(1);
+  const workerAgent = makeAgent(1, WORKER_IDLE_MS);
   const peerAgent = makeAgent(1);
 
   return {
@@ -68,19 +91,27 @@
       const writes = op.kind === 'txn' ? op.writes.length : 0;
       const timeout = op.kind === 'watch' ? op.waitMs * MILLI + 2 * SECOND : STATE_TIMEOUT;
       const agent = op.kind === 'watch' ? watchAgent : stateAgent;
-      return admitted(stateLimiter, urgency, writes).pipe(
-        Effect.flatMap((ok) => {
-          if (!ok)
-            return Effect.succeed<StateReply>({ kind: 'failed', executed: false, reason: 'over budget' });
-          return callHttp(agent, settings.stateAddress, encodeStateOp(op), timeout).pipe(
-            Effect.map((r): StateReply => {
-              if (r === null) return { kind: 'failed', executed: null, reason: 'no answer' };
-              if (r.status === 429) stateLimiter.pushBack();
-              return decodeStateReply(op, r.status, r.body);
-            }),
-          );
-        }),
-      );
+      const until = steadyNow() + RETRY_FOR[urgency];
+      const call = encodeStateOp(op);
+      const attempt = (): Effect.Effect<StateReply> =>
+        admitted(stateLimiter, urgency, writes).pipe(
+          Effect.flatMap((ok) => {
+            if (!ok)
+              return Effect.succeed<StateReply>({ kind: 'failed', executed: false, reason: 'over budget' });
+            return callHttp(agent, settings.stateAddress, call, timeout).pipe(
+              Effect.flatMap((r) => {
+                if (r === null)
+                  return Effect.succeed<StateReply>({ kind: 'failed', executed: null, reason: 'no answer' });
+                if (r.status === 429) {
+                  stateLimiter.pushBack();
+                  if (steadyNow() < until) return attempt();
+                }
+                return Effect.succeed(decodeStateReply(op, r.status, r.body));
+              }),
+            );
+          }),
+        );
+      return attempt();
     },
     cloud: (op, urgency) =>
       admitted(cloudLimiter, urgency, 0).pipe(
@@ -114,8 +145,8 @@
     },
     role: (leader) => {
       const s = shares(settings, leader);
-      stateLimiter.setRates(settings.stateRps * s, settings.stateWriteRps * s);
-      cloudLimiter.setRates(settings.cloudRps * s, 1);
+      stateLimiter.setRates(settings.stateRps * s.requests, settings.stateWriteRps * s.changes);
+      cloudLimiter.setRates(settings.cloudRps * s.cloud, 1);
     },
   };
 };
--- a/src/runtime/http-client.ts
+++ b/src/runtime/http-client.ts
@@ -9,8 +9,15 @@
 
 const MAX_REPLY = 64 * 1024 * 1024;
 
-export const makeAgent = (sockets: number): http.Agent =>
-  new http.Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets, scheduling: 'lifo' });
+/** `idleMs`: connections that were not used for that long are closed. */
+export const makeAgent = (sockets: number, idleMs?: number): http.Agent =>
+  new http.Agent({
+    keepAlive: true,
+    maxSockets: sockets,
+    maxFreeSockets: sockets,
+    scheduling: 'lifo',
+    ...(idleMs === undefined ? {} : { timeout: idleMs }),
+  });
 
 export const callHttp = (
   agent: http.Agent,
--- a/src/runtime/log.ts
+++ b/src/runtime/log.ts
@@ -5,6 +5,8 @@
 const ORDER: Record<LogLevel, number> = { error: 0, info: 1, debug: 2 };
 
 export interface LogService {
+  /** Whether decisions are wanted: else their fields need not be gathered. */
+  readonly verbose: boolean;
   readonly write: (level: LogLevel, event: string, fields: LogFields) => void;
 }
 export class Log extends Context.Tag('Log')<Log, LogService>() {}
@@ -13,6 +15,7 @@
   const wanted = process.env['LOG_LEVEL'] ?? 'info';
   const limit = ORDER[wanted as LogLevel] ?? ORDER.info;
   return Layer.succeed(Log, {
+    verbose: limit >= ORDER.debug,
     write: (level, event, fields) => {
       if (ORDER[level] > limit) return;
       process.stderr.write(
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -25,7 +25,7 @@
     private readonly log: LogService,
     private readonly run: <A>(e: Effect.Effect<A>, then: (a: A) => void) => void,
   ) {
-    this.core = new Core(settings, steadyNow);
+    this.core = new Core(settings, steadyNow, log.verbose);
   }
 
   feed(input: Input): void {
@@ -37,8 +37,14 @@
     }
   }
 
+  private wakeAt = 0;
+
   private wake(at: number): void {
-    if (this.timer !== null) clearTimeout(this.timer);
+    if (this.timer !== null) {
+      if (this.wakeAt === at) return;
+      clearTimeout(this.timer);
+    }
+    this.wakeAt = at;
     const ms = Math.max(1, Math.ceil((at - steadyNow()) / 1000));
     this.timer = setTimeout(() => {
       this.timer = null;
--- /dev/null
+++ b/test/pages.test.ts
@@ -0,0 +1,251 @@
+/** Packed records: lost, late and doubled transactions, size limits, and the form of the version before. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Machine } from '../src/core/cluster.js';
+import { Context } from '../src/core/context.js';
+import { ActiveJob } from '../src/core/jobs.js';
+import { LEAD } from '../src/core/keys.js';
+import { SECOND, type Item, type StateOp, type StateReply, type Write } from '../src/core/model.js';
+import { Pages, readPage } from '../src/core/pages.js';
+import { ProgressBook } from '../src/core/progress.js';
+import { Bits } from '../src/core/records.js';
+import { Roster } from '../src/core/roster.js';
+import { Writer } from '../src/core/writer.js';
+import { Random, settingsFor, specOf } from './world.js';
+
+const settings = settingsFor('n0', ['n0'], '[[cluster.teams]]\nname = "t"\n');
+
+/** A store that loses requests and answers, and carries some out late. */
+class Store {
+  readonly items = new Map<string, Item>();
+  revision = 1;
+  largest = 0;
+  puts = 0;
+  private late: { at: number; run: () => void }[] = [];
+
+  constructor(
+    readonly ctx: Context,
+    readonly random: Random,
+    public trouble: number,
+  ) {
+    this.items.set(LEAD, { key: LEAD, value: {}, version: 1, lease: null });
+  }
+
+  private apply(op: StateOp): StateReply {
+    if (op.kind === 'get') {
+      const item = this.items.get(op.key);
+      return item === undefined ? { kind: 'missing', revision: this.revision } : { kind: 'item', item };
+    }
+    if (op.kind !== 'txn') throw new Error(op.kind);
+    const failed = op.conditions
+      .filter((c) => (this.items.get(c.key)?.version ?? 0) !== c.version)
+      .map((c) => c.key);
+    if (failed.length > 0) return { kind: 'conflict', failed, revision: this.revision };
+    this.revision++;
+    for (const w of op.writes) this.write(w);
+    return { kind: 'ok', revision: this.revision };
+  }
+
+  private write(w: Write): void {
+    this.puts++;
+    if (w.kind === 'delete') {
+      this.items.delete(w.key);
+      return;
+    }
+    const value: unknown = JSON.parse(JSON.stringify(w.value));
+    this.largest = Math.max(this.largest, JSON.stringify(value).length);
+    this.items.set(w.key, { key: w.key, value, version: this.revision, lease: null });
+  }
+
+  runFor(length: number): void {
+    const end = this.ctx.now + length;
+    while (this.ctx.now < end) {
+      this.ctx.now += 5_000;
+      this.ctx.runDueTimers();
+      for (const l of this.late.filter((x) => x.at <= this.ctx.now)) l.run();
+      this.late = this.late.filter((x) => x.at > this.ctx.now);
+      const out = this.ctx.out;
+      this.ctx.out = [];
+      for (const e of out) {
+        if (e.kind !== 'state') continue;
+        const failed: StateReply = { kind: 'failed', executed: null, reason: 'lost' };
+        const fate = this.random.next();
+        if (fate >= this.trouble) this.ctx.stateReplied(e.call, this.apply(e.op));
+        else {
+          if (fate < this.trouble / 3) this.apply(e.op);
+          else if (fate < this.trouble / 1.5) {
+            const op = e.op;
+            const at = this.ctx.now + this.random.below(20) * SECOND;
+            this.late.push({ at, run: () => this.apply(op) });
+          }
+          this.ctx.stateReplied(e.call, failed);
+        }
+      }
+    }
+  }
+
+  under(prefix: string): Item[] {
+    return [...this.items.values()].filter((i) => i.key.startsWith(prefix));
+  }
+}
+
+const setUp = (seed: number, trouble: number) => {
+  const ctx = new Context(settings, () => 0);
+  const store = new Store(ctx, new Random(seed), trouble);
+  const writer = new Writer(ctx, 1, () => assert.fail('fenced'));
+  return { ctx, store, writer };
+};
+
+test('no late, lost or doubled write ever takes back what was confirmed', () => {
+  for (let seed = 1; seed <= 12; seed++) {
+    const r = new Random(seed * 31);
+    const { store, writer } = setUp(seed, 0.4);
+    const now = new Map<string, number>();
+    const confirmed = new Map<string, number>();
+    const pages = new Pages(writer, 'q/', 2_000, (id) => ({
+      n: now.get(id) ?? -1,
+      pad: 'x'.repeat(r.below(60)),
+    }));
+    const stored = (id: string): number | undefined => {
+      for (const it of store.under('q/')) {
+        const rec = readPage(it.value)?.[id] as { n: number } | undefined;
+        if (rec !== undefined) return rec.n;
+      }
+      return undefined;
+    };
+    for (let step = 0; step < 150; step++) {
+      const id = `run-${r.below(40)}`;
+      if (r.chance(0.15) && now.has(id)) {
+        pages.drop(id);
+        now.delete(id);
+        confirmed.delete(id);
+      } else {
+        now.set(id, step);
+        pages.put(id, 100, () => {
+          if (now.has(id)) confirmed.set(id, Math.max(step, confirmed.get(id) ?? 0));
+        });
+      }
+      store.runFor(r.below(600) * 1_000);
+      for (const [k, n] of confirmed)
+        if (now.has(k))
+          assert.ok((stored(k) ?? -1) >= n, `seed ${seed} step ${step}: ${k} ${stored(k)} < ${n}`);
+    }
+    store.trouble = 0;
+    pages.tidy();
+    store.runFor(60 * SECOND);
+    for (const [id, n] of now) assert.equal(stored(id), n);
+    for (const it of store.under('q/'))
+      for (const id of Object.keys(readPage(it.value) ?? {})) assert.ok(now.has(id), 'dropped, yet kept');
+    assert.ok(store.largest <= 2_000);
+  }
+});
+
+const machine = (i: number): Machine => {
+  const m = new Machine(
+    `m-${String(i).padStart(6, '0')}`,
+    `10.1.${i >> 8}.${i & 255}:9000`,
+    'box',
+    'a',
+    false,
+    0,
+  );
+  m.recorded = 'yes';
+  return m;
+};
+
+test('a thousand machines and their jobs take few writes, and come back whole', () => {
+  const { ctx, store, writer } = setUp(1, 0);
+  const machines = new Map<string, Machine>();
+  const jobs = new Map<string, ActiveJob>();
+  const job = (id: string): ActiveJob | undefined => jobs.get(id);
+  const find = (n: string): Machine | undefined => machines.get(n);
+  const roster = new Roster(writer, settings.valueBytes - 512, find, () => assert.fail('unreadable'));
+  const book = new ProgressBook(ctx, writer, job, find);
+  for (let i = 0; i < 1_000; i++) {
+    const m = machine(i);
+    machines.set(m.name, m);
+    roster.put(m, () => undefined);
+  }
+  let placed = 0;
+  const all = [...machines.values()];
+  for (let i = 0; i < 200; i++) {
+    const tasks = i === 0 ? 60_000 : 1 + (i % 80);
+    const j = new ActiveJob(specOf(`run-${i}`, { tasks }), 1, i, 0);
+    jobs.set(j.id, j);
+    for (let k = 0; k < Math.min(tasks, 80); k++) {
+      const m = all[(i * 7 + k) % all.length]!;
+      j.live.set(k, {
+        job: j,
+        index: k,
+        no: 1,
+        machine: m,
+        session: 1,
+        state: 'running',
+        token: 1,
+        orderedAt: 0,
+        runningAt: 0,
+        timed: true,
+        stopping: null,
+      });
+    }
+    for (let k = 0; k < tasks; k += 3) j.done.add(k);
+    book.place(j, () => placed++);
+  }
+  store.runFor(10 * SECOND);
+  assert.equal(placed, 200);
+  assert.ok(store.puts <= 40, `${store.puts} puts`);
+  assert.ok(store.largest <= settings.valueBytes);
+
+  const next = setUp(2, 0);
+  const found = new Roster(next.writer, settings.valueBytes - 512, () => undefined, assert.fail).load(
+    store.under('r/'),
+    [],
+  );
+  assert.equal(found.size, 1_000);
+  const again = new Map([...jobs.values()].map((j) => [j.id, new ActiveJob(j.spec, 1, j.at, 0)]));
+  new ProgressBook(next.ctx, next.writer, (id) => again.get(id), find).load(
+    store.under('q/'),
+    store.under('p/'),
+    again.values(),
+    true,
+  );
+  for (const j of jobs.values()) {
+    const a = again.get(j.id)!;
+    assert.equal(a.done.count, j.done.count);
+    for (const x of j.live.values()) assert.ok(a.placedOn.has(x.machine.name));
+  }
+});
+
+test('records of the version before are read and moved; what can not be read is never taken for absence', () => {
+  const { ctx, store, writer } = setUp(1, 0);
+  const bits = new Bits(4);
+  bits.add(2);
+  const put = (key: string, value: unknown): void => {
+    store.items.set(key, { key, value, version: 1, lease: null });
+  };
+  put('h/m-000001', { address: '10.1.0.1:9000', type: 'box', zone: 'a', spot: false, retiring: true });
+  put('p/run-1', { machines: ['m-000001'], bits: bits.encode(0, 1) });
+  put('q/3', 'torn');
+  const m = machine(1);
+  m.retiring = 'was retiring';
+  m.unresolved = true;
+  const jobs = new Map(
+    ['run-1', 'run-2'].map((id) => [id, new ActiveJob(specOf(id, { tasks: 4 }), 1, 0, 0)]),
+  );
+  const find = (n: string): Machine | undefined => (n === m.name ? m : undefined);
+  const roster = new Roster(writer, settings.valueBytes - 512, find, () => assert.fail('unreadable'));
+  assert.equal(roster.load([], store.under('h/')).get(m.name)?.retiring, true);
+  roster.adopt(store.under('h/'), find);
+  const book = new ProgressBook(ctx, writer, (id) => jobs.get(id), find);
+  book.load(store.under('q/'), store.under('p/'), jobs.values(), true);
+  store.runFor(5 * SECOND);
+  assert.deepEqual([...store.under('h/'), ...store.under('p/')], []);
+  assert.equal(store.items.get('q/3')!.value, 'torn');
+  const job = jobs.get('run-1')!;
+  assert.ok(job.done.has(2) && job.unresolved.has(m.name) && !job.unreadable);
+  assert.ok(jobs.get('run-2')!.unreadable, 'its place may have been on the page that is torn');
+  assert.deepEqual(
+    (readPage(store.items.get('q/0')!.value) as Record<string, { machines: string[] }>)['run-1']!.machines,
+    [m.name],
+  );
+});
