One order for pools that share machines; cut zones by who is overdue; machines kept for gangs

Krakow: work with GPUs came before all work without, whatever their aims, so arrays that may wait 200 s took the GPU machines from gangs that may wait 40 s. Gedeeld: when a zone was cut off, its machines fell silent one after the other and 250 of them were deleted before a third had; and more gangs waited than one plan places, so places that became free went to arrays of lower priority. Moore and Hodgson's order is still made by pool, then merged by latest start; who is overdue by 1.3 report intervals counts for a zone; what one plan leaves over keeps its machines.

--- a/src/core/aims.ts
+++ b/src/core/aims.ts
@@ -35,11 +35,16 @@
   readonly amount: number;
 }
 
+export interface AimOrder {
+  readonly kept: readonly Contender[];
+  readonly back: readonly Contender[];
+}
+
 /**
  * Moore and Hodgson's rule on a pool that frees `rate` of its unit a microsecond and has `free` now: by
  * latest start, and whenever one would come too late, the largest so far goes to the back.
  */
-export const orderByAims = (contenders: readonly Contender[], free: number, rate: number): ActiveJob[] => {
+export const orderByAims = (contenders: readonly Contender[], free: number, rate: number): AimOrder => {
   const byLatest = contenders
     .filter((c) => c.latest !== null)
     .sort((a, b) => a.latest! - b.latest! || a.job.at - b.job.at);
@@ -61,5 +66,21 @@
     (a, b) =>
       Number(a.latest === null) - Number(b.latest === null) || a.amount - b.amount || a.job.at - b.job.at,
   );
+  return { kept, back };
+};
+
+/**
+ * One order of several pools that share machines: what can still meet its aim by latest start, whatever
+ * its pool, for work without GPUs runs on GPU machines too; then the rest, each pool's own order kept.
+ */
+export const mergeOrders = (orders: readonly AimOrder[]): ActiveJob[] => {
+  const kept = orders.flatMap((o) => o.kept).sort((a, b) => a.latest! - b.latest! || a.job.at - b.job.at);
+  const backs = orders.map((o) => [...o.back]);
+  const back: Contender[] = [];
+  for (;;) {
+    const heads = backs.filter((b) => b.length > 0);
+    if (heads.length === 0) break;
+    back.push(heads.reduce((x, y) => (y[0]!.job.at < x[0]!.job.at ? y : x)).shift()!);
+  }
   return [...kept, ...back].map((c) => c.job);
 };
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -235,6 +235,8 @@
   readonly sorted: [Micros[], Micros[]];
   /** The least that any group of the plan needs here, by need of GPUs. Null: none may come here. */
   readonly least: [Amounts | null, Amounts | null];
+  /** Work of lower priority begins nowhere here: its machines drain for what waits. */
+  keptFor: number;
 }
 
 type Undo =
@@ -314,7 +316,16 @@
     const key = `${type.name}|${zone}|${spot ? 's' : 'o'}`;
     let p = this.pools.get(key);
     if (p === undefined) {
-      p = { type, zone, spot, byFloor: [[], []], sorted: [[], []], seats: [], least: [null, null] };
+      p = {
+        type,
+        zone,
+        spot,
+        byFloor: [[], []],
+        sorted: [[], []],
+        seats: [],
+        least: [null, null],
+        keptFor: 0,
+      };
       this.pools.set(key, p);
     }
     return p;
@@ -547,7 +558,7 @@
     const { seen } = this;
     const likeness = g.avoid.size === 0;
     for (const p of this.pools.values()) {
-      if (!placeAllowed(spec, p.type.name, p.zone, p.spot) || !fits(spec, p.type)) continue;
+      if (!this.open(p, spec)) continue;
       if (!zoneAllowed(p.zone)) continue;
       const seats = p.byFloor[k];
       const sorted = p.sorted[k];
@@ -585,6 +596,19 @@
     }
   }
 
+  /** Keeps the machines that a group could use from all work of lower priority. */
+  keepFor(g: Group): void {
+    for (const p of this.pools.values())
+      if (placeAllowed(g.spec, p.type.name, p.zone, p.spot) && fits(g.spec, p.type))
+        p.keptFor = Math.max(p.keptFor, g.spec.priority);
+  }
+
+  private open(p: Pool, spec: JobSpec): boolean {
+    return (
+      spec.priority >= p.keptFor && placeAllowed(spec, p.type.name, p.zone, p.spot) && fits(spec, p.type)
+    );
+  }
+
   /** Whether `wanted` tasks of the group have room at this moment. Looks only where there may be any. */
   hasRoomNow(g: Group, zone: string | null, wanted: number): boolean {
     const { spec } = g;
@@ -592,7 +616,7 @@
     const k = gpuKind(spec);
     let room = 0;
     for (const p of this.pools.values()) {
-      if (!placeAllowed(spec, p.type.name, p.zone, p.spot) || !fits(spec, p.type)) continue;
+      if (!this.open(p, spec)) continue;
       if (zone !== null && p.zone !== zone) continue;
       const seats = p.byFloor[k];
       const sorted = p.sorted[k];
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -42,7 +42,7 @@
 import { fits, placeAllowed } from './room.js';
 import type { Change, Group, Picture, Slot, Step } from './board.js';
 import { search } from './search.js';
-import { latestStart, orderByAims, type Contender } from './aims.js';
+import { latestStart, mergeOrders, orderByAims, type AimOrder, type Contender } from './aims.js';
 import { victimsFor, type Rights } from './preemption.js';
 import { guaranteedJobs, turnOrder, Usage } from './teams.js';
 import { Timings } from './timings.js';
@@ -962,8 +962,13 @@
       levels.set(key, level);
     }
     const ordered: ActiveJob[] = [];
-    for (const key of [...levels.keys()].sort().reverse())
-      ordered.push(...this.byAims(levels.get(key)!, key.endsWith('gpu'), Number(key[0])));
+    for (const priority of [3, 2, 1, 0]) {
+      const orders = ['cpu', 'gpu']
+        .map((kind) => ({ kind, jobs: levels.get(`${priority}|${kind}`) }))
+        .filter((l) => l.jobs !== undefined)
+        .map((l) => this.byAims(l.jobs!, l.kind === 'gpu', priority));
+      ordered.push(...mergeOrders(orders));
+    }
     return [...first, ...ordered];
   }
 
@@ -1004,7 +1009,7 @@
     return out;
   }
 
-  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: number): ActiveJob[] {
+  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: number): AimOrder {
     let total = 0;
     let free = 0;
     for (const m of this.machinesByName.values()) {
@@ -1481,18 +1486,29 @@
    */
   private checkSilence(): void {
     // Two reports may be late or lost before a machine is suspected.
-    const silentUs = Math.max(this.ctx.settings.tuning.silentUs, 2.5 * this.ctx.settings.reportUs);
-    const zones = new Map<string, { all: number; silent: number }>();
+    const { reportUs } = this.ctx.settings;
+    const silentUs = Math.max(this.ctx.settings.tuning.silentUs, 2.5 * reportUs);
+    // Who is merely overdue counts too: machines of a zone that is cut off become silent one after the
+    // other, and the first third of them would be deleted before the rest shows that it is the network.
+    const overdueUs = 1.3 * reportUs;
+    interface Count {
+      all: number;
+      overdue: number;
+    }
+    const zones = new Map<string, { ordinary: Count; any: Count }>();
     let up = 0;
     let quiet = 0;
     for (const m of this.machinesByName.values()) {
       if (!m.up && !m.unresolved) continue;
-      const z = zones.get(m.zone) ?? { all: 0, silent: 0 };
+      const z = zones.get(m.zone) ?? { ordinary: { all: 0, overdue: 0 }, any: { all: 0, overdue: 0 } };
       zones.set(m.zone, z);
-      if (!m.spot) z.all++;
+      const silent = this.silentFor(m);
+      for (const c of m.spot ? [z.any] : [z.any, z.ordinary]) {
+        c.all++;
+        if (silent > overdueUs) c.overdue++;
+      }
       up++;
-      if (this.silentFor(m) > silentUs * 0.75) quiet++;
-      if (this.silentFor(m) > silentUs && !m.spot) z.silent++;
+      if (silent > silentUs * 0.75) quiet++;
     }
     if (up >= 3 && quiet === up && this.ctx.settings.peers.length > 0) {
       this.leadership.resign(20 * SECOND, 'no worker reaches this node');
@@ -1500,8 +1516,10 @@
     }
     for (const m of [...this.machinesByName.values()]) {
       if ((!m.up && !m.unresolved) || m.retiring !== null || this.silentFor(m) <= silentUs) continue;
+      // Spot machines are taken in waves; the ordinary ones of a zone tell better whether it is cut off.
       const z = zones.get(m.zone)!;
-      if (m.spot || z.silent <= Math.max(1, Math.floor(z.all / 3))) this.retire(m, 'silent');
+      const c = z.ordinary.all >= 3 ? z.ordinary : z.any;
+      if (c.overdue <= Math.max(1, Math.floor(c.all / 3))) this.retire(m, 'silent');
     }
   }
 
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -164,8 +164,8 @@
   return a.sum < b.sum;
 };
 
-/** Past this many budgets nothing more is placed that can't begin now. */
-const HARD = 2;
+/** After the budget, so much longer may go into placing what can't begin now: a plan has to end. */
+const PLACING: Micros = 80_000;
 
 export interface SearchLimits {
   readonly budgetUs: Micros;
@@ -257,11 +257,14 @@
     const k = gpuKind(g.spec);
     if (held[k]! >= limits.depth && !b.mayRent(g)) return true;
     held[k]!++;
-    return stopwatch() - began > limits.budgetUs * HARD;
+    return stopwatch() - began > limits.budgetUs + PLACING;
   };
   for (const g of left) {
     if (!g.reserve || beginsNow(b, g)) continue;
-    if (!late(g)) settle(g, null);
+    // Else each place that becomes free would go to smaller work of lower priority, for as long as more
+    // waits above it than one plan looks at: on a full-size day 40 gangs waited so behind arrays.
+    if (late(g)) b.keepFor(g);
+    else settle(g, null);
     settled.add(g);
   }
   left = left.filter((g) => !settled.has(g));
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -1,13 +1,13 @@
 /** Fixtures for the play-out and the search, some from the paper (10.2, 12.1). */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { latestStart, orderByAims } from '../src/core/aims.js';
+import { latestStart, mergeOrders, orderByAims } from '../src/core/aims.js';
 import { ActiveJob } from '../src/core/jobs.js';
 import { SECOND, type JobSpec, type MachineType } from '../src/core/model.js';
 import { Board, type Group, type Picture, type Rentable, type Slot } from '../src/core/board.js';
-import { playOut, search } from '../src/core/search.js';
+import { placeGroup, playOut, search } from '../src/core/search.js';
 import { Timings } from '../src/core/timings.js';
-import { specOf, TYPE } from './world.js';
+import { Random, specOf, TYPE } from './world.js';
 
 const typeOf = (name: string, more: Partial<MachineType> = {}): MachineType => ({ ...TYPE, name, ...more });
 
@@ -144,7 +144,7 @@
     new ActiveJob(specOf(id, { tasks }), 1, Number(id.slice(4)), 0);
   const c = (j: ActiveJob, latest: number | null) => ({ job: j, latest, amount: j.spec.tasks });
   const [a, b, d, late] = [job('run-1', 8), job('run-2', 1), job('run-3', 1), job('run-4', 1)];
-  const order = orderByAims([c(a!, 5), c(b!, 6), c(d!, 7), c(late!, null)], 2, 0.1);
+  const order = mergeOrders([orderByAims([c(a!, 5), c(b!, 6), c(d!, 7), c(late!, null)], 2, 0.1)]);
   assert.deepEqual(
     order.map((j) => j.id),
     ['run-2', 'run-3', 'run-1', 'run-4'],
@@ -171,3 +171,79 @@
   s.seed(JSON.parse(JSON.stringify(t.summary())));
   assert.ok(s.remaining('c', 'x', 10 * SECOND, 0) > 19 * SECOND);
 });
+
+test('work of lower priority leaves machines alone that more is waiting for than one plan places', () => {
+  const type = typeOf('cpu', { cores: 2 });
+  const half = { cores: 1, gpus: 0, memoryGb: 8 };
+  const slots = ['m1', 'm2'].map((key) =>
+    slotOf(key, type, {
+      free: half,
+      changes: [{ at: 5 * SECOND, cores: 1, gpus: 0, memoryGb: 1 }],
+    }),
+  );
+  const gangs = [1, 2, 3].map((i) =>
+    groupOf(specOf(`run-${i}`, { shape: 'gang', tasks: 2, cores: 2, priority: 1 }), { reserve: true }),
+  );
+  const array = groupOf(specOf('run-9', { tasks: 1, cores: 1, priority: 0 }));
+  const d = search(pictureOf(slots, { cpu: 3 }), [...gangs, array], { ...limits, depth: 2 }, still);
+  assert.ok(!d.steps.some((s) => s.group === array));
+  const e = search(pictureOf(slots, { cpu: 3 }), [array], { ...limits, depth: 2 }, still);
+  assert.equal(e.steps.find((s) => s.group === array)?.start, 0);
+});
+
+test('what a play-out did is taken back whole, and a plan at a thousand machines looks at few of them', () => {
+  const type = typeOf('cpu', { cores: 4 });
+  const random = new Random(5);
+  const slots = Array.from({ length: 1_000 }, (_, i) =>
+    slotOf(`m${i}`, type, {
+      zone: i % 2 === 0 ? 'a' : 'b',
+      free: { cores: 0, gpus: 0, memoryGb: 8 },
+      changes: [1, 2]
+        .map((k) => ({
+          at: k * SECOND + random.below(90 * SECOND),
+          cores: 2,
+          gpus: 0,
+          memoryGb: 1,
+        }))
+        .sort((x, y) => x.at - y.at),
+    }),
+  );
+  const groups = Array.from({ length: 40 }, (_, i) =>
+    groupOf(
+      specOf(`run-${i}`, {
+        shape: i % 3 === 0 ? 'gang' : 'array',
+        tasks: 1 + random.below(24),
+        cores: 1 + random.below(2),
+        sameZone: i % 2 === 0,
+      }),
+    ),
+  );
+  const picture = pictureOf(slots, { cpu: 30 }, [{ type, zone: 'a', spot: false, limit: 3 }]);
+  const b = new Board(picture, groups);
+  const before = JSON.stringify(picture.slots);
+  const mark = b.mark();
+  playOut(b, groups, []);
+  assert.notEqual(JSON.stringify(picture.slots), before);
+  b.rollback(mark);
+  assert.equal(JSON.stringify(picture.slots), before);
+  assert.equal(picture.rented.size, 0);
+  const looks = b.looks;
+  assert.ok(looks < 40 * 300, `${looks} looks`);
+  // In the order of floors and with bounds it finds what looking everywhere finds.
+  for (const g of groups.slice(0, 10)) {
+    const found = placeGroup(b, g)!;
+    const finish = Math.max(...found.map((s) => s.finish));
+    b.rollback(mark);
+    let best = Infinity;
+    for (const zone of g.spec.sameZone ? ['a', 'b'] : [null]) {
+      const one = pictureOf(
+        slots.filter((s) => zone === null || s.zone === zone).map((s) => ({ ...s })),
+        { cpu: 30 },
+        picture.rentable.filter((r) => zone === null || r.zone === zone),
+      );
+      const steps = placeGroup(new Board(one, [g]), { ...g, spec: { ...g.spec, sameZone: false } })!;
+      best = Math.min(best, Math.max(...steps.map((s) => s.finish)));
+    }
+    assert.equal(finish, best);
+  }
+});
