--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1112,7 +1112,7 @@
     const { rentMarginUs } = this.ctx.settings.tuning;
     const slack = this.slackOf(job);
     if (slack === null) return rentMarginUs;
-    return rentMarginUs + Math.round(slack / 2);
+    return rentMarginUs + Math.min(rentMarginUs, Math.round(slack / 4));
   }
 
   private plan(): void {
