Room is looked for once a plan and given to each waiting job in its order

Each plan tried six jobs, each by going through all machines; the largest gangs, for which no room can be made at once, used the tries up. Now the machines are gone through once for each kind of task, jobs take places in their order, machines promised to one job are not offered to another, and a machine's second place is never taken without its first. Where a class has no aim on waiting, its tasks may be stopped once they ran for twice the time that saving takes.

--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -6,7 +6,7 @@
 import { addTo, fits, placeAllowed, takeFrom } from './room.js';
 
 /** A start followed by a stop within half a minute was worth nothing: younger attempts are left alone. */
-const SETTLED: Micros = 35 * SECOND;
+export const SETTLED: Micros = 35 * SECOND;
 
 /** What to stop, and the machines on which all tasks then fit. */
 export interface Clearing {
@@ -41,60 +41,109 @@
   );
 };
 
-const stoppable = (a: Attempt, now: Micros): boolean =>
-  a.stopping === null &&
-  a.state === 'running' &&
-  a.runningAt !== null &&
-  now - a.runningAt >= SETTLED &&
-  a.job.spec.shape === 'array' &&
-  a.job.spec.checkpointUs > 0;
+interface Place {
+  readonly machine: Machine;
+  /** To stop for this place, beside what the machine's earlier places stop. */
+  readonly victims: readonly Attempt[];
+  /** Never less than that of the machine's earlier places, which it builds on. */
+  readonly cost: number;
+}
 
 /**
- * The fewest attempts to stop so that all `count` tasks of the job fit, or null. Only attempts that can
- * save their progress are taken. Tasks go where the fewest need to be stopped for them.
+ * What one plan may clear. The machines are gone through once for each kind of task; jobs take from that in
+ * their order. Only attempts that can save their progress are taken, and tasks go where the fewest need to
+ * be stopped for them.
  */
-export const victimsFor = (
-  job: ActiveJob,
-  count: number,
-  machines: Iterable<Machine>,
-  types: ReadonlyMap<string, MachineType>,
-  rights: Rights,
-  now: Micros,
-): Clearing | null => {
-  const { spec } = job;
-  const byZone = new Map<string, { machine: Machine; victims: Attempt[] }[]>();
-  for (const m of machines) {
-    const type = types.get(m.type);
-    if (type === undefined || !m.usable() || !placeAllowed(spec, m.type, m.zone, m.spot)) continue;
-    if (!fits(spec, type)) continue;
-    const free = m.freeOf(type);
-    for (const a of m.attempts.values()) if (a.stopping !== null) addTo(free, a.job.spec);
-    const open = [...m.attempts.values()]
-      .filter((a) => stoppable(a, now) && mayPreempt(job, a, rights))
-      .sort((a, b) => b.runningAt! - a.runningAt!);
-    const zone = spec.sameZone ? m.zone : '';
-    const list = byZone.get(zone) ?? [];
-    byZone.set(zone, list);
-    for (let k = 0; k < count; k++) {
-      const victims: Attempt[] = [];
-      while (!fits(spec, free) && open.length > 0) {
-        const v = open.shift()!;
-        victims.push(v);
-        addTo(free, v.job.spec);
+export class Clearings {
+  private readonly lists = new Map<string, Map<string, Place[]>>();
+  private readonly taken = new Set<Machine>();
+
+  constructor(
+    private readonly machines: readonly Machine[],
+    private readonly types: ReadonlyMap<string, MachineType>,
+    private readonly rights: Rights,
+    private readonly now: Micros,
+    /** How long an attempt has run at least before it is stopped for others. */
+    private readonly settled: (job: ActiveJob) => Micros,
+  ) {}
+
+  private stoppable(a: Attempt): boolean {
+    return (
+      a.stopping === null &&
+      a.state === 'running' &&
+      a.runningAt !== null &&
+      this.now - a.runningAt >= this.settled(a.job) &&
+      a.job.spec.shape === 'array' &&
+      a.job.spec.checkpointUs > 0
+    );
+  }
+
+  /** Places by zone (or all in one list, for jobs that may spread), cheapest first. */
+  private places(job: ActiveJob): Map<string, Place[]> {
+    const { spec } = job;
+    const key = [
+      spec.team,
+      spec.priority,
+      this.rights.guaranteed(job),
+      spec.cores,
+      spec.gpus,
+      spec.memoryGb,
+      spec.types?.join('+') ?? '*',
+      spec.zone ?? '*',
+      spec.spot,
+      spec.sameZone,
+    ].join('|');
+    let byZone = this.lists.get(key);
+    if (byZone !== undefined) return byZone;
+    byZone = new Map();
+    this.lists.set(key, byZone);
+    for (const m of this.machines) {
+      const type = this.types.get(m.type);
+      if (type === undefined || !m.usable() || !placeAllowed(spec, m.type, m.zone, m.spot)) continue;
+      if (!fits(spec, type)) continue;
+      const free = m.freeOf(type);
+      for (const a of m.attempts.values()) if (a.stopping !== null) addTo(free, a.job.spec);
+      const open = [...m.attempts.values()]
+        .filter((a) => this.stoppable(a) && mayPreempt(job, a, this.rights))
+        .sort((a, b) => b.runningAt! - a.runningAt!);
+      const zone = spec.sameZone ? m.zone : '';
+      const list = byZone.get(zone) ?? [];
+      byZone.set(zone, list);
+      let cost = 0;
+      for (;;) {
+        const victims: Attempt[] = [];
+        while (!fits(spec, free) && open.length > 0) {
+          const v = open.shift()!;
+          victims.push(v);
+          addTo(free, v.job.spec);
+        }
+        if (!fits(spec, free)) break;
+        takeFrom(free, spec);
+        cost = Math.max(cost, victims.length);
+        list.push({ machine: m, victims, cost });
       }
-      if (!fits(spec, free)) break;
-      takeFrom(free, spec);
-      list.push({ machine: m, victims });
     }
+    for (const list of byZone.values()) list.sort((a, b) => a.cost - b.cost);
+    return byZone;
   }
-  let best: Clearing | null = null;
-  for (const places of byZone.values()) {
-    if (places.length < count) continue;
-    places.sort((a, b) => a.victims.length - b.victims.length);
-    const taken = places.slice(0, count);
-    const victims = taken.flatMap((p) => p.victims);
-    if (best === null || victims.length < best.victims.length)
-      best = { victims, machines: new Set(taken.map((p) => p.machine.name)) };
+
+  /** The fewest attempts to stop so that all `count` tasks of the job fit, or null. */
+  take(job: ActiveJob, count: number): Clearing | null {
+    let best: Clearing | null = null;
+    let chosen: readonly Place[] = [];
+    for (const all of this.places(job).values()) {
+      const places: Place[] = [];
+      for (const p of all) {
+        if (places.length >= count) break;
+        if (!this.taken.has(p.machine)) places.push(p);
+      }
+      if (places.length < count) continue;
+      const victims = places.flatMap((p) => p.victims);
+      if (best !== null && victims.length >= best.victims.length) continue;
+      best = { victims, machines: new Set(places.map((p) => p.machine.name)) };
+      chosen = places;
+    }
+    for (const p of chosen) this.taken.add(p.machine);
+    return best;
   }
-  return best;
-};
+}
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -43,7 +43,7 @@
 import type { Change, Group, Picture, Slot, Step } from './board.js';
 import { search } from './search.js';
 import { latestStart, mergeOrders, orderByAims, type AimOrder, type Contender } from './aims.js';
-import { victimsFor, type Rights } from './preemption.js';
+import { Clearings, SETTLED, type Rights } from './preemption.js';
 import { guaranteedJobs, turnOrder, Usage } from './teams.js';
 import { Timings } from './timings.js';
 import { Writer } from './writer.js';
@@ -57,8 +57,8 @@
 const PLAN_PAUSE = 6;
 /** How long a machine's slot is kept in the picture while nothing changes there. */
 const PICTURE_FRESH = 2_500 * MILLI;
-/** Jobs for which one plan looks for work to preempt. */
-const MAX_CLEARINGS = 6;
+/** Attempts that one plan stops for others, about. */
+const MAX_VICTIMS = 60;
 const MAX_ORDERS = 400;
 
 export class Scheduler implements FleetHost {
@@ -1182,6 +1182,24 @@
     return { teams, use, guaranteed: (job) => inside.has(job) };
   }
 
+  private clearings(): Clearings {
+    const { now, settings, types } = this.ctx;
+    // Room that is being made for one job is not made for another.
+    const promised = new Set<string>();
+    for (const j of this.jobs.values())
+      if (j.promisedUntil > now) for (const name of j.promisedOn ?? []) promised.add(name);
+    // A start counts for an aim on waiting only if it is not stopped at once; where there is no such aim,
+    // stopping costs what has not been saved yet, which is nothing, and the time to save.
+    const awaited = new Set(settings.objectives.filter((o) => o.kind === 'wait').map((o) => o.class));
+    return new Clearings(
+      [...this.machinesByName.values()].filter((m) => !promised.has(m.name)),
+      types,
+      this.rights(),
+      now,
+      (job) => (awaited.has(job.spec.class) ? SETTLED : Math.max(job.spec.saveUs * 2, 5 * SECOND)),
+    );
+  }
+
   private lowestRunning(): number {
     let lowest = 3;
     for (const m of this.machinesByName.values())
@@ -1195,23 +1213,22 @@
     const { teams } = this.ctx.settings;
     const guarantees = teams.length > 1 && teams.some((t) => t.cores > 0 || t.gpus > 0);
     const lowest = this.lowestRunning();
-    let rights: Rights | null = null;
-    let made = 0;
-    let tries = 0;
+    const { now } = this.ctx;
+    let clearings: Clearings | null = null;
+    let stopped = 0;
     for (const [job, steps] of byJob) {
-      if (made >= 3 || tries >= MAX_CLEARINGS) break;
-      if (job.live.size > 0 || job.phase !== 'active') continue;
+      if (stopped >= MAX_VICTIMS) break;
+      if (job.live.size > 0 || job.phase !== 'active' || job.promisedUntil > now) continue;
       if (!guarantees && job.spec.priority <= lowest) continue;
       const start = Math.max(...steps.map((s) => s.start));
-      if (start <= this.ctx.now + 8 * SECOND) continue;
-      tries++;
-      rights ??= this.rights();
+      if (start <= now + 8 * SECOND) continue;
+      clearings ??= this.clearings();
       const count = job.spec.shape === 'gang' ? job.spec.tasks : Math.min(job.waiting, 16);
-      const clearing = victimsFor(job, count, this.machines(), this.ctx.types, rights, this.ctx.now);
+      const clearing = clearings.take(job, count);
       if (clearing === null || clearing.victims.length === 0) continue;
       const { victims } = clearing;
       job.promisedOn = clearing.machines;
-      made++;
+      stopped += victims.length;
       // What is being freed is for this job: others must not slip in before all of it is there.
       job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 6 * SECOND;
       this.ctx.debug('preempt', () => ({
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -2,9 +2,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { latestStart, mergeOrders, orderByAims } from '../src/core/aims.js';
+import { attemptKey, Machine, type Attempt } from '../src/core/cluster.js';
 import { ActiveJob } from '../src/core/jobs.js';
 import { SECOND, type JobSpec, type MachineType } from '../src/core/model.js';
 import { Board, type Group, type Picture, type Rentable, type Slot } from '../src/core/board.js';
+import { Clearings } from '../src/core/preemption.js';
 import { placeGroup, playOut, search } from '../src/core/search.js';
 import { Timings } from '../src/core/timings.js';
 import { Random, specOf, TYPE } from './world.js';
@@ -247,3 +249,49 @@
     assert.equal(finish, best);
   }
 });
+
+test('room is made for several gangs in one plan, each with machines of its own', () => {
+  // Seen at full size: the largest gangs, for which no room could be made, used up all tries of every plan.
+  const type = typeOf('cpu', { cores: 4 });
+  const types = new Map([['cpu', type]]);
+  const old = new ActiveJob(
+    specOf('run-8', { tasks: 99, cores: 2, priority: 0, checkpointUs: SECOND }),
+    1,
+    0,
+    0,
+  );
+  const machines = Array.from({ length: 5 }, (_, i) => {
+    const m = new Machine(`m${i}`, 'a:1', 'cpu', i < 4 ? 'a' : 'b', false, 0);
+    m.up = true;
+    m.recorded = 'yes';
+    for (const k of [0, 1]) {
+      const a: Attempt = {
+        job: old,
+        index: i * 2 + k,
+        no: 1,
+        machine: m,
+        session: 1,
+        state: 'running',
+        token: 1,
+        orderedAt: 0,
+        // On the last machine they began a moment ago.
+        runningAt: i === 4 ? 99 * SECOND : 0,
+        timed: true,
+        stopping: null,
+      };
+      m.attempts.set(attemptKey('run-8', a.index), a);
+      m.changes++;
+    }
+    return m;
+  });
+  const gang = (id: string, tasks: number): ActiveJob =>
+    new ActiveJob(specOf(id, { shape: 'gang', tasks, cores: 3, sameZone: true }), 1, 0, 0);
+  const rights = { teams: [], use: new Map(), guaranteed: () => false };
+  const c = new Clearings(machines, types, rights, 100 * SECOND, () => 35 * SECOND);
+  assert.equal(c.take(gang('run-1', 9), 9), null);
+  const first = c.take(gang('run-2', 2), 2)!;
+  const second = c.take(gang('run-3', 2), 2)!;
+  assert.equal(first.victims.length, 4);
+  assert.equal(new Set([...first.machines, ...second.machines]).size, 4);
+  assert.equal(c.take(gang('run-4', 1), 1), null, 'the rest has not run for long enough');
+});
