--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -62,9 +62,8 @@
     private readonly machines: readonly Machine[],
     private readonly types: ReadonlyMap<string, MachineType>,
     private readonly rights: Rights,
-    private readonly now: Micros,
-    /** How long an attempt has run at least before it is stopped for others. */
-    private readonly settled: (job: ActiveJob) => Micros,
+    /** Whether stopping it costs nothing that its own aims need. */
+    private readonly spare: (a: Attempt) => boolean,
   ) {}
 
   private stoppable(a: Attempt): boolean {
@@ -72,9 +71,9 @@
       a.stopping === null &&
       a.state === 'running' &&
       a.runningAt !== null &&
-      this.now - a.runningAt >= this.settled(a.job) &&
       a.job.spec.shape === 'array' &&
-      a.job.spec.checkpointUs > 0
+      a.job.spec.checkpointUs > 0 &&
+      this.spare(a)
     );
   }
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -57,6 +57,8 @@
 const PLAN_PAUSE = 6;
 /** How long a machine's slot is kept in the picture while nothing changes there. */
 const PICTURE_FRESH = 2_500 * MILLI;
+/** What a stopped task may lose: it saves, waits for another place, and fetches its image there. */
+const PRESSED = 30 * SECOND;
 /** Attempts that one plan stops for others, about. */
 const MAX_VICTIMS = 60;
 const MAX_ORDERS = 400;
@@ -1195,11 +1197,26 @@
       [...this.machinesByName.values()].filter((m) => !promised.has(m.name)),
       types,
       this.rights(),
-      now,
-      (job) => (awaited.has(job.spec.class) ? SETTLED : Math.max(job.spec.saveUs * 2, 5 * SECOND)),
+      (a) => {
+        const least = awaited.has(a.job.spec.class) ? SETTLED : Math.max(a.job.spec.saveUs * 2, 5 * SECOND);
+        return a.runningAt !== null && now - a.runningAt >= least && !this.pressed(a);
+      },
     );
   }
 
+  /** Whether its job can still meet a deadline, but hardly so if it is stopped and has to wait again. */
+  private pressed(a: Attempt): boolean {
+    const { spec, at } = a.job;
+    if (spec.deadlineUs === null) return false;
+    const left = this.remaining(a);
+    for (const o of this.ctx.settings.objectives) {
+      if (o.kind !== 'deadline' || o.class !== spec.class) continue;
+      const slack = spec.deadlineUs * o.times - (this.ctx.wallNow - at) - left;
+      if (slack >= 0 && slack < PRESSED) return true;
+    }
+    return false;
+  }
+
   private lowestRunning(): number {
     let lowest = 3;
     for (const m of this.machinesByName.values())
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -287,7 +287,7 @@
   const gang = (id: string, tasks: number): ActiveJob =>
     new ActiveJob(specOf(id, { shape: 'gang', tasks, cores: 3, sameZone: true }), 1, 0, 0);
   const rights = { teams: [], use: new Map(), guaranteed: () => false };
-  const c = new Clearings(machines, types, rights, 100 * SECOND, () => 35 * SECOND);
+  const c = new Clearings(machines, types, rights, (a) => 100 * SECOND - a.runningAt! >= 35 * SECOND);
   assert.equal(c.take(gang('run-1', 9), 9), null);
   const first = c.take(gang('run-2', 2), 2)!;
   const second = c.take(gang('run-3', 2), 2)!;
