What a stopped task loses grows with how long others of its class wait

A stopped array saves, waits behind the others of its class, and fetches its image again, which costs most where all are late anyway. A deadline now counts as pressed if its slack is less than 0.4 of what others of the class have waited, 30 s at least.

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -57,11 +57,13 @@
 const PLAN_PAUSE = 6;
 /** How long a machine's slot is kept in the picture while nothing changes there. */
 const PICTURE_FRESH = 2_500 * MILLI;
-/** What a stopped task may lose: it saves, waits for another place, and fetches its image there. */
+/** A stopped task waits for about this share of how long others of its class wait: it was in order before. */
+const REQUEUE_SHARE = 0.4;
+/** What a stopped task loses at least: it saves, waits for another place, and fetches its image there. */
 const PRESSED = 30 * SECOND;
 /** A wait that is never worth stopping others for, and the one that is where no aim can be met any more. */
 const LEAST_WAIT = 8 * SECOND;
-const HOPELESS_WAIT = 30 * SECOND;
+const HOPELESS_WAIT = 60 * SECOND;
 /** From the decision to stop others until the job runs in their place, with time for a second try. */
 const CLEARING_TIME = 20 * SECOND;
 /** Attempts that one plan stops for others, about. */
@@ -1208,26 +1210,39 @@
     // A start counts for an aim on waiting only if it is not stopped at once; where there is no such aim,
     // stopping costs what has not been saved yet, which is nothing, and the time to save.
     const awaited = new Set(settings.objectives.filter((o) => o.kind === 'wait').map((o) => o.class));
+    // A stopped task waits about as long as others of its class wait now.
+    const waits = new Map<string, { jobs: number; age: Micros }>();
+    for (const j of this.jobs.values()) {
+      if (j.spec.deadlineUs === null || j.phase !== 'active' || j.waiting <= 0) continue;
+      const w = waits.get(j.spec.class) ?? { jobs: 0, age: 0 };
+      waits.set(j.spec.class, w);
+      w.jobs++;
+      w.age += this.ctx.wallNow - j.at;
+    }
+    const loss = (job: ActiveJob): Micros => {
+      const w = waits.get(job.spec.class);
+      return Math.max(PRESSED, w === undefined ? 0 : REQUEUE_SHARE * (w.age / w.jobs));
+    };
     return new Clearings(
       [...this.machinesByName.values()].filter((m) => !promised.has(m.name)),
       types,
       this.rights(),
       (a) => {
         const least = awaited.has(a.job.spec.class) ? SETTLED : Math.max(a.job.spec.saveUs * 2, 5 * SECOND);
-        return a.runningAt !== null && now - a.runningAt >= least && !this.pressed(a);
+        return a.runningAt !== null && now - a.runningAt >= least && !this.pressed(a, loss(a.job));
       },
     );
   }
 
   /** Whether its job can still meet a deadline, but hardly so if it is stopped and has to wait again. */
-  private pressed(a: Attempt): boolean {
+  private pressed(a: Attempt, loss: Micros): boolean {
     const { spec, at } = a.job;
     if (spec.deadlineUs === null) return false;
     const left = this.remaining(a);
     for (const o of this.ctx.settings.objectives) {
       if (o.kind !== 'deadline' || o.class !== spec.class) continue;
       const slack = spec.deadlineUs * o.times - (this.ctx.wallNow - at) - left;
-      if (slack >= 0 && slack < PRESSED) return true;
+      if (slack >= 0 && slack < loss) return true;
     }
     return false;
   }
