Dear places count as they did before: the wait of half a minute for cheap ones is taken back

It used cheap idle machines as intended, but made gangs wait for them that then missed their aims; what it saved went into longer leases of the dear ones.

--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -160,15 +160,9 @@
   s.changes = changes;
 };
 
-const MAX_DEAR = 5;
+const MAX_DEAR = 3;
 /** What a place that is dearer by its job's lowest price again counts as, in waiting time. */
 const DEAR_WEIGHT: Micros = 8_000_000;
-/**
- * A dear place that is expected to be free a little sooner than a cheap one, which is there, could be used
- * loses to it however little time the job's aim leaves: on a grown krakow day 24 cheap places stood idle
- * while gangs waited for GPU machines at five times the price.
- */
-const LEAST_PATIENCE: Micros = 30_000_000;
 
 /** Share of the time by which a task keeps a machine busy for longer that counts against the place. */
 const EXTENSION_WEIGHT = 0.12;
@@ -526,7 +520,7 @@
     const dear = s.sunk
       ? 0
       : Math.min(
-          Math.max(g.patience, LEAST_PATIENCE),
+          g.patience,
           Math.round(DEAR_WEIGHT * Math.max(0, dearness(this.picture, g, s.type, s.spot) - 1)),
         );
     const rank = finish + waste(spec, s, finish) + dear + extra + avoid;
