--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -59,8 +59,6 @@
 const PICTURE_FRESH = 2_500 * MILLI;
 /** A stopped task waits for about this share of how long others of its class wait: it was in order before. */
 const REQUEUE_SHARE = 0.4;
-/** Share of the slack of a class's waiting jobs that its backlog may take before it counts as overloaded. */
-const OVERLOAD = 0.6;
 /** What a stopped task loses at least: it saves, waits for another place, and fetches its image there. */
 const PRESSED = 30 * SECOND;
 /** A wait that is never worth stopping others for, and the one that is where no aim can be met any more. */
@@ -1225,53 +1223,17 @@
       const w = waits.get(job.spec.class);
       return Math.max(PRESSED, w === undefined ? 0 : REQUEUE_SHARE * (w.age / w.jobs));
     };
-    const overloaded = this.overloaded();
     return new Clearings(
       [...this.machinesByName.values()].filter((m) => !promised.has(m.name)),
       types,
       this.rights(),
       (a) => {
         const least = awaited.has(a.job.spec.class) ? SETTLED : Math.max(a.job.spec.saveUs * 2, 5 * SECOND);
-        return (
-          a.runningAt !== null &&
-          now - a.runningAt >= least &&
-          !overloaded.has(a.job.spec.class) &&
-          !this.pressed(a, loss(a.job))
-        );
+        return a.runningAt !== null && now - a.runningAt >= least && !this.pressed(a, loss(a.job));
       },
     );
   }
 
-  /**
-   * Classes with deadlines whose waiting work will take about as long as their jobs can still wait. What is
-   * stopped then is missing for good: on an overloaded full-size day all the room that gangs gained was paid
-   * for with arrays that missed their deadlines later.
-   */
-  private overloaded(): ReadonlySet<string> {
-    interface Load {
-      waiting: number;
-      live: number;
-      slack: Micros;
-      jobs: number;
-    }
-    const loads = new Map<string, Load>();
-    for (const j of this.jobs.values()) {
-      if (j.spec.deadlineUs === null || j.phase !== 'active') continue;
-      const l = loads.get(j.spec.class) ?? { waiting: 0, live: 0, slack: 0, jobs: 0 };
-      loads.set(j.spec.class, l);
-      l.live += j.live.size;
-      const slack = j.waiting > 0 ? this.slackOf(j) : null;
-      if (j.waiting <= 0) continue;
-      l.waiting += j.waiting * this.timings.remaining(j.spec.class, '', j.spec.estimateUs, 0);
-      l.jobs++;
-      l.slack += slack ?? 0;
-    }
-    const out = new Set<string>();
-    for (const [cls, l] of loads)
-      if (l.jobs > 0 && l.waiting / Math.max(1, l.live) > OVERLOAD * (l.slack / l.jobs)) out.add(cls);
-    return out;
-  }
-
   /** Whether its job can still meet a deadline, but hardly so if it is stopped and has to wait again. */
   private pressed(a: Attempt, loss: Micros): boolean {
     const { spec, at } = a.job;
