The leader's batches come after users' own writes, and unhurried ones are gathered

Cause: after the fall to 15 changes a second a submission stood behind the leader's batches of five at the same urgency, each waiting half a second for the bucket; unhurried progress went out 15 ms after it was made.

--- a/src/core/writer.ts
+++ b/src/core/writer.ts
@@ -7,7 +7,7 @@
 import type { Context } from './context.js';
 import { LEAD } from './keys.js';
 import type { Condition, Write } from './model.js';
-import { MILLI, SECOND } from './model.js';
+import { MILLI, SECOND, type Micros } from './model.js';
 import { bytesOf } from './records.js';
 
 /** Whether something waits for the write, or it may come when there is nothing more important. */
@@ -31,6 +31,8 @@
 }
 
 const GATHER_US = 15 * MILLI;
+/** What nobody waits for is gathered for longer: writes are scarce, and much of it is overtaken by newer. */
+const LATER_US = 1_200 * MILLI;
 const RETRY_US = 250 * MILLI;
 const MAX_BYTES = 48 * 1024;
 /** After a refusal of several writes at once, fewer are sent together; more again after this time. */
@@ -40,6 +42,7 @@
   private readonly pending = new Map<string, Entry>();
   private readonly versions = new Map<string, number>();
   private busy = false;
+  private flushAt: Micros = Infinity;
   private stopped = false;
   private most: number;
   private cautiousUntil = 0;
@@ -85,7 +88,7 @@
       done: [...(entry?.done ?? []), then],
       refused: [...(entry?.refused ?? []), ...(options.refused === undefined ? [] : [options.refused])],
     });
-    this.kick(GATHER_US);
+    this.kick(this.pending.get(key)!.urgent === 'now' ? GATHER_US : LATER_US);
   }
 
   remove(key: string): void {
@@ -97,17 +100,35 @@
       done: [],
       refused: [],
     });
-    this.kick(GATHER_US);
+    this.kick(LATER_US);
   }
 
   private kick(delay: number): void {
     if (this.busy || this.stopped) return;
-    this.busy = true;
+    const at = this.ctx.now + delay;
+    if (at >= this.flushAt) return;
+    this.flushAt = at;
     this.ctx.after(delay, () => {
+      // An earlier flush may have been asked for meanwhile.
+      if (this.busy || this.flushAt !== at) return;
+      this.flushAt = Infinity;
+      this.busy = true;
       this.flush();
     });
   }
 
+  /** Goes on with what still waits. */
+  private more(): void {
+    this.busy = false;
+    if (this.pending.size === 0) return;
+    for (const e of this.pending.values())
+      if (e.urgent === 'now') {
+        this.kick(GATHER_US);
+        return;
+      }
+    this.kick(LATER_US);
+  }
+
   /** What somebody waits for first; but one in a transaction is left for the rest, which must get on too. */
   private next(): Entry[] {
     if (this.most < this.ctx.settings.txnOps && this.ctx.now > this.cautiousUntil) {
@@ -140,15 +161,15 @@
       this.busy = false;
       return;
     }
-    this.ctx.state({ kind: 'txn', conditions, writes: batch.map((e) => e.write) }, 1, (r) => {
+    // After users' own writes: these come in batches, behind which a submission would wait for half a second.
+    this.ctx.state({ kind: 'txn', conditions, writes: batch.map((e) => e.write) }, 2, (r) => {
       if (this.stopped) return;
       if (r.kind === 'ok') {
         for (const { entry, write } of batch) {
           this.versions.set(entry.key, write.kind === 'put' ? r.revision : 0);
           for (const d of entry.done) d(write);
         }
-        this.busy = false;
-        if (this.pending.size > 0) this.kick(GATHER_US);
+        this.more();
         return;
       }
       if (r.kind === 'refused' && batch.length === 1) {
@@ -156,9 +177,8 @@
         const { entry, write } = batch[0]!;
         const size = write.kind === 'put' ? bytesOf(write.value) : 0;
         this.ctx.error('write.refused', { key: entry.key, bytes: size });
-        this.busy = false;
         for (const f of entry.refused) f(size);
-        if (this.pending.size > 0) this.kick(GATHER_US);
+        this.more();
         return;
       }
       // Nobody can tell whether it was executed; what is put then is newer, and does no harm.
