--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -90,6 +90,8 @@
   rented: Map<Rentable, number>;
   readonly predictor: Predictor;
   readonly types: Iterable<MachineType>;
+  /** Tasks that come again and again: small ones had better leave whole places for the large ones among them. */
+  readonly kinds?: readonly JobSpec[];
 }
 
 /** Services never finish: for the play-out they hold their room this long. */
@@ -164,6 +166,11 @@
 /** What a place that is dearer by its job's lowest price again counts as, in waiting time. */
 const DEAR_WEIGHT: Micros = 8_000_000;
 
+/** A task is small beside one that takes so many times its cores. */
+const SMALL = 4;
+/** What a place counts for, in waiting time, that keeps a large task out. */
+const BLOCK_WEIGHT: Micros = 10_000_000;
+
 /** Share of the time by which a task keeps a machine busy for longer that counts against the place. */
 const EXTENSION_WEIGHT = 0.12;
 
@@ -289,11 +296,19 @@
   private seen = new Int32Array(64);
   /** Places looked at: the work bound of a plan, for tests and logs. */
   looks = 0;
+  private readonly kinds: readonly JobSpec[];
+  private readonly larger = new Map<JobSpec, readonly JobSpec[]>();
 
   constructor(
     readonly picture: Picture,
     groups: readonly Group[],
   ) {
+    const kinds = new Map<string, JobSpec>();
+    for (const k of [...(picture.kinds ?? []), ...groups.map((g) => g.spec)]) {
+      const key = `${k.cores}|${k.gpus}|${k.memoryGb}|${k.types?.join('+') ?? '*'}`;
+      if (k.shape !== 'service') kinds.set(key, k);
+    }
+    this.kinds = [...kinds.values()];
     const zones = new Set<string>();
     for (const s of picture.slots) {
       const seat: Seat = { slot: s, floor: [0, 0], alike: this.alikeOf(s) };
@@ -502,6 +517,36 @@
 
   private readonly room: Amounts = { cores: 0, gpus: 0, memoryGb: 0 };
 
+  /** Kinds of tasks so much larger that a small one in the wrong place keeps them out. */
+  private largerThan(spec: JobSpec): readonly JobSpec[] {
+    let found = this.larger.get(spec);
+    if (found === undefined) {
+      found = spec.gpus > 0 ? [] : this.kinds.filter((k) => k.cores >= SMALL * spec.cores);
+      this.larger.set(spec, found);
+    }
+    return found;
+  }
+
+  /**
+   * How many of a small task fit into the room just found beside as many large ones as would fit there:
+   * null if there are no larger ones to be had here.
+   */
+  private gapFor(spec: JobSpec, type: MachineType): number | null {
+    let gap: number | null = null;
+    for (const k of this.largerThan(spec)) {
+      if (!fits(k, type) || (k.types !== null && !k.types.includes(type.name))) continue;
+      const places = timesFits(k, this.room);
+      const rest = {
+        cores: this.room.cores - places * k.cores,
+        gpus: this.room.gpus,
+        memoryGb: this.room.memoryGb - places * k.memoryGb,
+      };
+      const n = timesFits(spec, rest);
+      if (gap === null || n < gap) gap = n;
+    }
+    return gap;
+  }
+
   /** The place that a seat offers to the group's next tasks, if its rank is below the bound. */
   offer(g: Group, seat: Seat, rentable: Rentable | null, bound: Micros): Option | null {
     this.looks++;
@@ -516,16 +561,23 @@
     if (start === null) return null;
     const avoid = s.machine !== null && g.avoid.has(s.machine) ? 60_000_000 : 0;
     const finish = start + length;
+    // Where a small task takes no place from a large one, and the machine is busy for as long anyway, it
+    // costs nothing, however dear the machine.
+    const gap = this.gapFor(spec, s.type);
+    const inGap = gap !== null && gap > 0 && finish <= (s.changes.at(-1)?.at ?? s.ready);
+    const blocks = gap === 0 ? Math.min(g.patience, BLOCK_WEIGHT) : 0;
     // On a machine that could be returned, work that needs little of what is dear about it blocks the rest.
-    const dear = s.sunk
-      ? 0
-      : Math.min(
-          g.patience,
-          Math.round(DEAR_WEIGHT * Math.max(0, dearness(this.picture, g, s.type, s.spot) - 1)),
-        );
-    const rank = finish + waste(spec, s, finish) + dear + extra + avoid;
+    const dear =
+      s.sunk || inGap
+        ? 0
+        : Math.min(
+            g.patience,
+            Math.round(DEAR_WEIGHT * Math.max(0, dearness(this.picture, g, s.type, s.spot) - 1)),
+          );
+    const rank = finish + (inGap ? 0 : waste(spec, s, finish)) + blocks + dear + extra + avoid;
     if (rank >= bound) return null;
-    const count = Math.max(1, timesFits(spec, this.room));
+    const fit = Math.max(1, timesFits(spec, this.room));
+    const count = gap !== null && gap > 0 ? Math.min(fit, gap) : fit;
     return { seat, rentable, start, finish, count, rank, warm: fetch === 0 };
   }
 
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -74,6 +74,14 @@
     if (spec.tasks >= a.spec.tasks) a.spec = spec;
   }
 
+  /** What comes lately, one of each class. */
+  kinds(): JobSpec[] {
+    const out: JobSpec[] = [];
+    for (const a of this.arrivals.values())
+      if ((a.at.at(-1) ?? -Infinity) > this.ctx.now - WINDOW) out.push(a.spec);
+    return out;
+  }
+
   /** What can be rented now, by type, zone and kind. */
   rentable(): Rentable[] {
     const out: Rentable[] = [];
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1006,6 +1006,7 @@
       slots,
       types: [...this.ctx.types.values()],
       rentable: this.fleet.rentable(),
+      kinds: this.fleet.kinds(),
       rented: new Map(),
       predictor: {
         runTime: (spec, type, credit) =>
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -295,3 +295,27 @@
   assert.equal(new Set([...first.machines, ...second.machines]).size, 4);
   assert.equal(c.take(gang('run-4', 1), 1), null, 'the rest has not run for long enough');
 });
+
+test('small tasks use the gaps beside large ones, and leave whole places for those to come', () => {
+  // Seen on a krakow day: stages of one core filled the machines that gangs of 30 cores waited for.
+  const type = typeOf('node', { cores: 32, memoryGb: 128 });
+  const big = specOf('run-9', { cores: 30, memoryGb: 50, shape: 'gang' });
+  const beside = slotOf('beside', type, {
+    sunk: false,
+    free: { cores: 2, gpus: 0, memoryGb: 70 },
+    changes: [{ at: 90 * SECOND, cores: 30, gpus: 0, memoryGb: 50 }],
+  });
+  const empty = slotOf('empty', type, { sunk: false });
+  const other = slotOf('other', type, { sunk: false });
+  const p = { ...pictureOf([empty, beside, other], { node: 20 }), kinds: [big] };
+  const small = groupOf(specOf('run-1', { tasks: 6, cores: 1 }), { patience: 30 * SECOND });
+  const d = search(p, [small], limits, still);
+  const at = new Map<string, number>();
+  for (const s of d.steps) at.set(s.slot.key, (at.get(s.slot.key) ?? 0) + s.count);
+  assert.deepEqual([...at].sort(), [
+    ['beside', 2],
+    ['empty', 2],
+    ['other', 2],
+  ]);
+  for (const s of [empty, other]) assert.ok(s.free.cores >= 30, 'a place for the large one is left');
+});
