--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -77,8 +77,6 @@
   readonly count: number;
   readonly start: Micros;
   readonly finish: Micros;
-  /** What speaks against the place beside its finish, in waiting time. */
-  readonly malus: Micros;
 }
 
 export interface Predictor {
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -31,30 +31,20 @@
   g: Group,
   zoneAllowed: (zone: string) => boolean,
   wanted: number,
-  latest: Micros,
 ): Option[] => {
   const best: Option[] = [];
   let total = 0;
-  let bound = Infinity;
   b.eachOption(g, zoneAllowed, wanted, (o) => {
-    if (o.start > latest) return bound;
     insertOption(best, o);
     total += o.count;
     while (best.length > 1 && total - best[best.length - 1]!.count >= wanted) total -= best.pop()!.count;
-    bound = total >= wanted ? best[best.length - 1]!.rank : Infinity;
-    return bound;
+    return total >= wanted ? best[best.length - 1]!.rank : Infinity;
   });
   return best;
 };
 
 /** Places tasks a chunk at a time where they finish first. Null: some can be placed nowhere. */
-const placeTasks = (
-  b: Board,
-  g: Group,
-  zone: string | null,
-  first: Option | null,
-  latest: Micros = Infinity,
-): Step[] | null => {
+const placeTasks = (b: Board, g: Group, zone: string | null, first: Option | null): Step[] | null => {
   const steps: Step[] = [];
   const used = new Map<string, number>();
   const allowed = (z: string): boolean => (zone === null || z === zone) && zoneRoom(g, used, z) >= 1;
@@ -62,7 +52,7 @@
   let list: Option[] = [];
   let forced = first;
   while (left > 0) {
-    if (forced === null && list.length === 0) list = bestOptions(b, g, allowed, left, latest);
+    if (forced === null && list.length === 0) list = bestOptions(b, g, allowed, left);
     const o: Option | undefined = forced ?? list.shift();
     forced = null;
     if (o === undefined) return null;
@@ -73,23 +63,15 @@
     const count = Math.min(left, o.count, zoneRoom(g, used, seat.slot.zone));
     b.occupy(seat, g, count, o.start, o.finish);
     used.set(seat.slot.zone, (used.get(seat.slot.zone) ?? 0) + count);
-    steps.push({
-      group: g,
-      seat,
-      slot: seat.slot,
-      count,
-      start: o.start,
-      finish: o.finish,
-      malus: o.rank - o.finish,
-    });
+    steps.push({ group: g, seat, slot: seat.slot, count, start: o.start, finish: o.finish });
     left -= count;
     if (left <= 0 || list.length === 0) continue;
     // What the same place, or another one rented like it, offers next takes part again.
     const bound = list[list.length - 1]!.rank;
     const again = g.only !== null || seat.slot.machine !== null || o.rentable !== null;
     const next = again ? b.offer(g, seat, null, bound) : null;
-    if (next !== null && next.start <= latest) insertOption(list, next);
-    if (o.rentable !== null && latest === Infinity) {
+    if (next !== null) insertOption(list, next);
+    if (o.rentable !== null) {
       const more = b.offerRented(g, o.rentable, bound);
       if (more !== null) insertOption(list, more);
     }
@@ -111,49 +93,16 @@
 
 const lastFinish = (steps: readonly Step[]): Micros => Math.max(...steps.map((s) => s.finish));
 
-/** A gang is as late as its last member: its finish, and what speaks against its places on the whole. */
-const gangCost = (steps: readonly Step[]): Micros => {
-  let malus = 0;
-  let count = 0;
-  for (const s of steps) {
-    malus += s.malus * s.count;
-    count += s.count;
-  }
-  return lastFinish(steps) + malus / Math.max(1, count);
-};
-
-/**
- * Each member where it finishes first may mean that all wait for the last one, though there is room for
- * all now on places that each of them likes a little less. Both are tried where they differ.
- */
-const placeGang = (b: Board, g: Group, zone: string | null, first: Option | null): Step[] | null => {
-  const { now } = b.picture;
-  const mark = b.mark();
-  const roomNow = b.hasRoomNow(g, zone, g.count);
-  const free = (): Step[] | null => {
-    const raw = placeTasks(b, g, zone, first);
-    return raw === null ? null : asGang(b, raw);
-  };
-  const steps = free();
-  if (!roomNow || steps?.[0] === undefined || steps[0].start <= now) return steps;
-  const cost = gangCost(steps);
-  b.rollback(mark);
-  const raw = placeTasks(b, g, zone, first, now);
-  if (raw !== null) {
-    const atOnce = asGang(b, raw);
-    if (gangCost(atOnce) < cost) return atOnce;
-  }
-  b.rollback(mark);
-  return free();
-};
-
 /** Places one group under earliest predicted finish. Null, and no trace, if it fits nowhere, now or later. */
 export const placeGroup = (b: Board, g: Group, first: Option | null = null): Step[] | null => {
   const mark = b.mark();
   const place = (zone: string | null): Step[] | null => {
-    const steps = g.spec.shape === 'gang' ? placeGang(b, g, zone, first) : placeTasks(b, g, zone, first);
-    if (steps === null) b.rollback(mark);
-    return steps;
+    const raw = placeTasks(b, g, zone, first);
+    if (raw === null) {
+      b.rollback(mark);
+      return null;
+    }
+    return g.spec.shape === 'gang' ? asGang(b, raw) : raw;
   };
   let zones = zoneChoices(b, g);
   if (first !== null && zones.length > 1) zones = [first.seat.slot.zone];
