Stages to come take part in the play-out, from their predicted release on

Cause: stages run for seconds while a machine boots for half a minute; the plan looked at a stage only once it was released. Held jobs whose needs are predicted done within the longest boot are placed after all other work, not before that time: they rent only where nothing would be free in time, and keep idle machines that they need.

--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -61,8 +61,10 @@
    * from the groups behind it.
    */
   readonly reserve: boolean;
-  /** No real work: room kept for arrivals. */
+  /** No real work: room kept for arrivals, or for stages to come. */
   readonly phantom: boolean;
+  /** It can't begin before. */
+  readonly notBefore?: Micros;
   /** Relative prices by type and kind, filled in as they are asked for. */
   readonly dear: Map<string, number>;
   /** Predicted run times by type, filled in as they are asked for. */
@@ -103,12 +105,13 @@
     : Math.round((spec.imageGb / s.type.fetchGbPerS) * 1e6);
 
 /** The first time from which `need` fits for all of `length`; the room then is left in `room`. */
-const earliest = (s: Slot, need: Amounts, length: Micros, room: Amounts): Micros | null => {
+const earliest = (s: Slot, need: Amounts, length: Micros, room: Amounts, from: Micros = 0): Micros | null => {
   const { changes } = s;
+  const ready = Math.max(s.ready, from);
   let { cores, gpus, memoryGb } = s.free;
   // Room at a start time is that of all changes up to it; then the least over the length must fit.
   for (let first = -1; first < changes.length; first++) {
-    let t = s.ready;
+    let t = ready;
     if (first >= 0) {
       const c = changes[first]!;
       cores += c.cores;
@@ -557,7 +560,7 @@
     const fetch = fetchTime(spec, s);
     const length = fetch + this.duration(g, s);
     if (s.ready + length + extra >= bound) return null;
-    const start = earliest(s, spec, length, this.room);
+    const start = earliest(s, spec, length, this.room, g.notBefore);
     if (start === null) return null;
     const avoid = s.machine !== null && g.avoid.has(s.machine) ? 60_000_000 : 0;
     const finish = start + length;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -44,6 +44,7 @@
 import type { Change, Group, Picture, Slot, Step } from './board.js';
 import { search } from './search.js';
 import { latestStart, mergeOrders, orderByAims, type AimOrder, type Contender } from './aims.js';
+import { stagesAhead } from './ahead.js';
 import { Cascade } from './cascade.js';
 import { Dependencies, type DependencyHost } from './dependencies.js';
 import { Endings } from './endings.js';
@@ -1172,6 +1173,35 @@
     return { groups, jobs };
   }
 
+  /** What the next stages will need while a machine could boot for them. */
+  private groupsAhead(): Group[] {
+    if (this.deps.heldCount === 0) return [];
+    const { now } = this.ctx;
+    let boot = 0;
+    for (const t of this.ctx.types.values()) boot = Math.max(boot, t.bootUs);
+    const endOf = (job: ActiveJob): Micros => {
+      let left = job.waiting > 0 ? this.expectedOf(job) : 0;
+      for (const a of job.live.values()) left = Math.max(left, this.remaining(a));
+      return now + left + HANDOVER;
+    };
+    const ahead = stagesAhead(this.jobs.values(), this.deps, (id) => this.jobs.get(id), endOf, now + boot);
+    return ahead.map(({ job, ready }) => ({
+      spec: { ...job.spec, shape: 'array', sameZone: false, spread: false, priority: job.priority },
+      count: Math.min(job.spec.tasks, MAX_REPRESENTED),
+      zones: new Map(),
+      avoid: new Set(),
+      credit: 0,
+      margin: this.marginOf(job),
+      patience: this.patienceOf(job),
+      only: null,
+      reserve: false,
+      phantom: true,
+      notBefore: ready,
+      runs: new Map(),
+      dear: new Map(),
+    }));
+  }
+
   /**
    * The settings don't say whether money is an aim. Who keeps machines ready pays for capacity anyway; who
    * starts from nothing pays by use.
@@ -1232,7 +1262,7 @@
     const { tuning } = this.ctx.settings;
     const decision = search(
       this.picture(),
-      [...groups, ...this.fleet.headroom()],
+      [...groups, ...this.fleet.headroom(), ...this.groupsAhead()],
       {
         budgetUs: tuning.searchBudgetUs,
         width: tuning.searchWidth,
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -319,3 +319,26 @@
   ]);
   for (const s of [empty, other]) assert.ok(s.free.cores >= 30, 'a place for the large one is left');
 });
+
+test('a stage to come is placed from its predicted release on, and has a machine rented only if it must', () => {
+  const type = typeOf('cpu', { cores: 4, bootUs: 30 * SECOND });
+  const busy = (until: number): Slot =>
+    slotOf('busy', type, {
+      free: { cores: 0, gpus: 0, memoryGb: 8 },
+      changes: [{ at: until * SECOND, cores: 4, gpus: 0, memoryGb: 8 }],
+    });
+  const rent: Rentable = { type, zone: 'a', spot: false, limit: 5 };
+  const stage = (): Group =>
+    groupOf(specOf('run-1', { tasks: 4 }), {
+      phantom: true,
+      notBefore: 40 * SECOND,
+      margin: 20 * SECOND,
+    });
+  const waits = search(pictureOf([busy(50)], { cpu: 5 }, [rent]), [stage()], limits, still);
+  assert.equal(waits.picture.rented.get(rent) ?? 0, 0);
+  const free = search(pictureOf([busy(10)], { cpu: 5 }, [rent]), [stage()], limits, still);
+  assert.equal(free.picture.rented.get(rent) ?? 0, 0);
+  const rents = search(pictureOf([busy(200)], { cpu: 5 }, [rent]), [stage()], limits, still);
+  assert.equal(rents.picture.rented.get(rent), 1);
+  assert.deepEqual(rents.steps, [], 'nothing of it starts');
+});
