Prolonging a machine that is paid for counts by its price

Keeping a machine longer weighed the same whatever it costs. It now counts by the price over that of the cheapest the job could use, up to what its next aim leaves.

--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -182,11 +182,14 @@
  * a task had better go where the machine is busy for as long anyway, so that others become empty and
  * can be returned.
  */
-const waste = (spec: JobSpec, s: Slot, finish: Micros): Micros => {
+const waste = (spec: JobSpec, s: Slot, finish: Micros, price: number, patience: Micros): Micros => {
   let w = s.sunk && spec.gpus === 0 && s.type.gpus > 0 ? 8_000_000 : 0;
   const busyUntil = s.changes.at(-1)?.at ?? s.ready;
-  if (spec.shape !== 'service')
-    w += Math.round(EXTENSION_WEIGHT * Math.max(0, finish - Math.max(busyUntil, s.ready)));
+  if (spec.shape !== 'service') {
+    const plain = EXTENSION_WEIGHT * Math.max(0, finish - Math.max(busyUntil, s.ready));
+    // The whole machine is paid for until then: a dear one must not be kept by what could run on a cheap one.
+    w += Math.round(s.sunk ? plain : Math.min(plain * price, Math.max(plain, patience)));
+  }
   const share = s.type.gpus > 0 ? s.free.gpus / s.type.gpus : s.free.cores / s.type.cores;
   w += Math.round(4_000_000 * Math.max(0, Math.min(1, share)));
   // Machines that may be taken back are for work that saves; the others are for what must not go there.
@@ -225,6 +228,21 @@
   return d;
 };
 
+/** The price of a machine, as a multiple of the cheapest ordinary one that the job could use. */
+const priceOf = (p: Picture, g: Group, type: MachineType, spot: boolean): number => {
+  const key = spot ? `${type.name}|ms` : `${type.name}|m`;
+  let d = g.dear.get(key);
+  if (d === undefined) {
+    let cheapest = Infinity;
+    for (const t of p.types)
+      if ((g.spec.types === null || g.spec.types.includes(t.name)) && fits(g.spec, t))
+        cheapest = Math.min(cheapest, t.price);
+    d = cheapest > 0 && cheapest < Infinity ? (spot ? type.spotPrice : type.price) / cheapest : 1;
+    g.dear.set(key, d);
+  }
+  return d;
+};
+
 /** A slot with what is known of when it may have room. */
 export interface Seat {
   readonly slot: Slot;
@@ -577,7 +595,13 @@
             g.patience,
             Math.round(DEAR_WEIGHT * Math.max(0, dearness(this.picture, g, s.type, s.spot) - 1)),
           );
-    const rank = finish + (inGap ? 0 : waste(spec, s, finish)) + blocks + dear + extra + avoid;
+    const rank =
+      finish +
+      (inGap ? 0 : waste(spec, s, finish, priceOf(this.picture, g, s.type, s.spot), g.patience)) +
+      blocks +
+      dear +
+      extra +
+      avoid;
     if (rank >= bound) return null;
     const fit = Math.max(1, timesFits(spec, this.room));
     const count = gap !== null && gap > 0 ? Math.min(fit, gap) : fit;
