A new leader rents only once most machines have reported to it

The design says it: a new leader rebuilds from reports first. Ruled out: rentals for stages of pipelines.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -25,6 +25,8 @@
   changed(): void;
   active(): boolean;
   thrifty(): boolean;
+  /** Most of what is there is not known yet. */
+  rebuilding(): boolean;
 }
 
 const MAX_RENT = 50;
@@ -139,6 +141,7 @@
   rentFor(d: Decision): void {
     // First see what is there: what stands ready before any renting is never returned.
     if (this.firstList && this.ctx.now < this.began + FIRST_LIST_WAIT) return;
+    if (this.host.rebuilding()) return;
     for (const [r, count] of d.picture.rented) {
       if (count <= 0) continue;
       const key = offerKey(r.type.name, r.zone, r.spot);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -74,6 +74,9 @@
 /** Attempts that one plan stops for others, about. */
 const MAX_VICTIMS = 60;
 const MAX_ORDERS = 400;
+/** A new leader rents nothing until so many report intervals have passed, or all but this share is known. */
+const REBUILD_REPORTS = 3;
+const REBUILD_SHARE = 0.1;
 const CHAINS_FRESH = 2 * SECOND;
 /** From a decision to start until the task runs, where its image is there. */
 const SETUP = 2 * SECOND;
@@ -1213,6 +1216,22 @@
     return true;
   }
 
+  /**
+   * A new leader rebuilds from reports first. Machines that have not reported to it are not in its picture: it
+   * would rent for all that waits beside them, and did so at each change of leader, the dearest types too.
+   */
+  rebuilding(): boolean {
+    if (this.ctx.now > this.office.since + REBUILD_REPORTS * this.ctx.settings.reportUs) return false;
+    let all = 0;
+    let unknown = 0;
+    for (const m of this.machinesByName.values()) {
+      if (m.recorded !== 'yes' || m.retiring !== null) continue;
+      all++;
+      if (m.unresolved) unknown++;
+    }
+    return unknown > REBUILD_SHARE * all;
+  }
+
   private slackOf(job: ActiveJob): Micros | null {
     const { spec } = job;
     const credit = job.credit.get(-1) ?? 0;
