--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -27,8 +27,6 @@
   free: Readonly<Amounts>;
   changes: readonly Change[];
   images: ReadonlySet<string>;
-  /** Above 1: runs slower than its type. */
-  readonly slow: number;
   used: boolean;
 }
 
@@ -383,7 +381,7 @@
   private alikeOf(s: Slot): number {
     if (s.changes.length > 0) return -1;
     const { cores, gpus, memoryGb } = s.free;
-    const key = `${s.type.name}|${s.zone}|${s.spot ? 's' : 'o'}|${s.sunk ? 1 : 0}|${s.ready}|${s.slow}|${cores}|${gpus}|${memoryGb}|${[...s.images].join()}`;
+    const key = `${s.type.name}|${s.zone}|${s.spot ? 's' : 'o'}|${s.sunk ? 1 : 0}|${s.ready}|${cores}|${gpus}|${memoryGb}|${[...s.images].join()}`;
     let n = this.alikes.get(key);
     if (n === undefined) this.alikes.set(key, (n = this.alikes.size));
     return n;
@@ -518,7 +516,6 @@
         free: { cores: r.type.cores, gpus: r.type.gpus, memoryGb: r.type.memoryGb },
         changes: [],
         images: new Set(),
-        slow: 1,
         used: false,
       },
       floor: [ready, ready],
@@ -526,14 +523,14 @@
     };
   }
 
-  private duration(g: Group, s: { type: MachineType; slow: number }): Micros {
+  private duration(g: Group, s: { type: MachineType }): Micros {
     if (g.spec.shape === 'service') return FOREVER;
     let run = g.runs.get(s.type.name);
     if (run === undefined) {
       run = this.picture.predictor.runTime(g.spec, s.type, g.credit);
       g.runs.set(s.type.name, run);
     }
-    return Math.round(run * s.slow);
+    return run;
   }
 
   private readonly room: Amounts = { cores: 0, gpus: 0, memoryGb: 0 };
@@ -641,8 +638,7 @@
       if (!zoneAllowed(p.zone)) continue;
       const seats = p.byFloor[k];
       const sorted = p.sorted[k];
-      // Machines slower than their type only take longer, never less.
-      const least = this.duration(g, { type: p.type, slow: 1 });
+      const least = this.duration(g, p);
       for (let i = 0; i < seats.length; i++) {
         if (sorted[i]! + least >= bound) {
           // Rented ones stand behind the sorted ones, and are few.
--- /dev/null
+++ b/src/core/clearing.ts
@@ -0,0 +1,126 @@
+/** Stopping some work for other work: which waiting jobs have a right to that, when, and what it costs. */
+import type { Step } from './board.js';
+import type { Attempt } from './cluster.js';
+import type { Context } from './context.js';
+import type { Estate } from './estate.js';
+import type { ActiveJob } from './jobs.js';
+import { SECOND, type Micros } from './model.js';
+import { Clearings, SETTLED } from './preemption.js';
+
+/** A stopped task waits for about this share of how long others of its class wait: it was in order before. */
+const REQUEUE_SHARE = 0.4;
+/** What a stopped task loses at least: it saves, waits for another place, and fetches its image there. */
+const PRESSED = 30 * SECOND;
+/** A wait that is never worth stopping others for, and the one that is where no aim can be met any more. */
+const LEAST_WAIT = 8 * SECOND;
+const HOPELESS_WAIT = 60 * SECOND;
+/** From the decision to stop others until the job runs in their place, with time for a second try. */
+const CLEARING_TIME = 20 * SECOND;
+/** Attempts that one plan stops for others, about. */
+const MAX_VICTIMS = 60;
+
+export class Clearing {
+  private readonly ctx: Context;
+
+  constructor(
+    private readonly estate: Estate,
+    private readonly stopAttempt: (a: Attempt, graceUs: Micros) => void,
+  ) {
+    this.ctx = estate.ctx;
+  }
+
+  /** Stops what work of higher priority, or a guarantee, has a right to, if it would wait much longer. */
+  preempt(byJob: ReadonlyMap<ActiveJob, readonly Step[]>): void {
+    // Looking for victims goes through all machines: only where there may be some, and a few times a plan.
+    const { teams } = this.ctx.settings;
+    const guarantees = teams.length > 1 && teams.some((t) => t.cores > 0 || t.gpus > 0);
+    const lowest = this.lowestRunning();
+    const { now } = this.ctx;
+    let clearings: Clearings | null = null;
+    let stopped = 0;
+    for (const [job, steps] of byJob) {
+      if (stopped >= MAX_VICTIMS) break;
+      if (job.live.size > 0 || job.phase !== 'active' || job.promisedUntil > now) continue;
+      if (!guarantees && job.priority <= lowest) continue;
+      const start = Math.max(...steps.map((s) => s.start));
+      if (start <= now + this.waitBeforeStopping(job)) continue;
+      clearings ??= this.clearings();
+      const count = job.spec.shape === 'gang' ? job.spec.tasks : Math.min(job.waiting, 16);
+      const clearing = clearings.take(job, count);
+      if (clearing === null || clearing.victims.length === 0) continue;
+      const { victims } = clearing;
+      job.promisedOn = clearing.machines;
+      stopped += victims.length;
+      // What is being freed is for this job: others must not slip in before all of it is there.
+      job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 6 * SECOND;
+      this.ctx.debug('preempt', () => ({
+        job: job.id,
+        victims: victims.map((v) => `${v.job.id}/${v.index}`),
+      }));
+      for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
+    }
+  }
+
+  /**
+   * A stopped task saves, waits, and fetches its image elsewhere: that is done only once waiting on would
+   * endanger the aim of the job that wants the room. On full-size days arrays were else stopped thousands of
+   * times for gangs that had time, and missed half of their deadlines.
+   */
+  private waitBeforeStopping(job: ActiveJob): Micros {
+    const slack = this.estate.slackOf(job);
+    return slack === null ? HOPELESS_WAIT : Math.max(LEAST_WAIT, slack - CLEARING_TIME);
+  }
+
+  private clearings(): Clearings {
+    const { now, settings, types } = this.ctx;
+    // Room that is being made for one job is not made for another.
+    const promised = new Set<string>();
+    for (const j of this.estate.jobs.values())
+      if (j.promisedUntil > now) for (const name of j.promisedOn ?? []) promised.add(name);
+    // A start counts for an aim on waiting only if it is not stopped at once; where there is no such aim,
+    // stopping costs what has not been saved yet, which is nothing, and the time to save.
+    const awaited = new Set(settings.objectives.filter((o) => o.kind === 'wait').map((o) => o.class));
+    // A stopped task waits about as long as others of its class wait now.
+    const waits = new Map<string, { jobs: number; age: Micros }>();
+    for (const j of this.estate.jobs.values()) {
+      if (j.spec.deadlineUs === null || j.phase !== 'active' || j.held || j.waiting <= 0) continue;
+      const w = waits.get(j.spec.class) ?? { jobs: 0, age: 0 };
+      waits.set(j.spec.class, w);
+      w.jobs++;
+      w.age += this.ctx.wallNow - j.at;
+    }
+    const loss = (job: ActiveJob): Micros => {
+      const w = waits.get(job.spec.class);
+      return Math.max(PRESSED, w === undefined ? 0 : REQUEUE_SHARE * (w.age / w.jobs));
+    };
+    return new Clearings(
+      [...this.estate.machines.values()].filter((m) => !promised.has(m.name)),
+      types,
+      this.estate.rights(),
+      (a) => {
+        const least = awaited.has(a.job.spec.class) ? SETTLED : Math.max(a.job.spec.saveUs * 2, 5 * SECOND);
+        return a.runningAt !== null && now - a.runningAt >= least && !this.pressed(a, loss(a.job));
+      },
+    );
+  }
+
+  /** Whether its job can still meet a deadline, but hardly so if it is stopped and has to wait again. */
+  private pressed(a: Attempt, loss: Micros): boolean {
+    const { spec, at } = a.job;
+    if (spec.deadlineUs === null) return false;
+    const left = this.estate.remaining(a);
+    for (const o of this.ctx.settings.objectives) {
+      if (o.kind !== 'deadline' || o.class !== spec.class) continue;
+      const slack = spec.deadlineUs * o.times - (this.ctx.wallNow - at) - left;
+      if (slack >= 0 && slack < loss) return true;
+    }
+    return false;
+  }
+
+  private lowestRunning(): number {
+    let lowest = 3;
+    for (const m of this.estate.machines.values())
+      for (const a of m.attempts.values()) lowest = Math.min(lowest, a.job.priority);
+    return lowest;
+  }
+}
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -65,8 +65,6 @@
   idleSince: Micros;
   errorsInRow = 0;
   readonly errorJobs = new Set<string>();
-  /** Ratio of observed to expected run time on this machine, smoothed. */
-  slow = 1;
   firstListed: Micros | null = null;
   lastListed: Micros | null = null;
   rentedAt: Micros;
--- /dev/null
+++ b/src/core/estate.ts
@@ -0,0 +1,109 @@
+/** What the leader knows in one term, and what it predicts from that. Changes nothing. */
+import { latestStart } from './aims.js';
+import type { Attempt, Machine } from './cluster.js';
+import type { Context } from './context.js';
+import type { ActiveJob } from './jobs.js';
+import { SECOND, type Micros } from './model.js';
+import type { Rights } from './preemption.js';
+import { typeAllowed } from './room.js';
+import { guaranteedJobs, Usage } from './teams.js';
+import { Timings } from './timings.js';
+
+/** From a decision to start until the task runs, where its image is there. */
+const SETUP = 2 * SECOND;
+/** From the end of a job's last task until the next job's tasks run: report, record, plan, record, start. */
+export const HANDOVER = 3 * SECOND;
+
+export class Estate {
+  readonly machines = new Map<string, Machine>();
+  readonly jobs = new Map<string, ActiveJob>();
+  readonly timings = new Timings();
+
+  constructor(readonly ctx: Context) {}
+
+  remaining(a: Attempt): Micros {
+    const { spec } = a.job;
+    if (spec.shape === 'service') return 1e13;
+    const credit = a.job.credit.get(spec.shape === 'gang' ? -1 : a.index) ?? 0;
+    const elapsed = credit + (a.runningAt === null ? 0 : this.ctx.now - a.runningAt);
+    return this.timings.remaining(spec.class, a.machine.type, spec.estimateUs, elapsed);
+  }
+
+  usage(): Usage {
+    const u = new Usage();
+    for (const m of this.machines.values()) for (const a of m.attempts.values()) u.add(a.job.spec, 1);
+    return u;
+  }
+
+  /** While something unaccounted for may run, a team with a limit starts nothing. */
+  unaccounted(): boolean {
+    for (const m of this.machines.values()) if (m.unresolved || m.strangers > 0) return true;
+    return false;
+  }
+
+  startable(job: ActiveJob): boolean {
+    if (job.phase !== 'active' || job.broken || job.complete || job.waiting <= 0) return false;
+    if (job.unreadable || job.held) return false;
+    if (job.notBefore > this.ctx.now) return false;
+    if (job.spec.shape === 'gang' && job.live.size > 0) return false;
+    for (const name of job.unresolved) if (this.machines.get(name)?.unresolved === true) return false;
+    return true;
+  }
+
+  /**
+   * The settings don't say whether money is an aim. Who keeps machines ready pays for capacity anyway; who
+   * starts from nothing pays by use.
+   */
+  thrifty(): boolean {
+    const { thrift } = this.ctx.settings.tuning;
+    if (thrift !== 'auto') return thrift === 'on';
+    for (const m of this.machines.values()) if (m.standing) return false;
+    return true;
+  }
+
+  slackOf(job: ActiveJob): Micros | null {
+    const { spec } = job;
+    const credit = job.credit.get(-1) ?? 0;
+    const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, credit);
+    return latestStart(job, this.ctx.settings.objectives, this.ctx.wallNow, run, SETUP);
+  }
+
+  /** From a job's release to its end: its run, its image, and what lies between one job and the next. */
+  expectedOf(job: ActiveJob): Micros {
+    const { spec } = job;
+    const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, 0);
+    let rate = 0;
+    for (const t of this.ctx.types.values())
+      if (typeAllowed(spec, t) && t.fetchGbPerS > 0) rate = Math.max(rate, t.fetchGbPerS);
+    return run + (rate > 0 ? Math.round((spec.imageGb / rate) * SECOND) : 0) + HANDOVER;
+  }
+
+  patienceOf(job: ActiveJob): Micros {
+    const slack = this.slackOf(job);
+    return slack === null ? 60 * SECOND : Math.round(slack / 2);
+  }
+
+  /** Work that can wait a while and still meet its aim need not have machines rented for it at once. */
+  marginOf(job: ActiveJob): Micros {
+    if (!this.thrifty()) return 0;
+    const { rentMarginUs } = this.ctx.settings.tuning;
+    const slack = this.slackOf(job);
+    if (slack === null) return rentMarginUs;
+    return rentMarginUs + Math.min(rentMarginUs, Math.round(slack / 4));
+  }
+
+  rights(): Rights {
+    const use = new Map<string, { cores: number; gpus: number }>();
+    for (const m of this.machines.values())
+      for (const a of m.attempts.values()) {
+        const { team, cores, gpus } = a.job.spec;
+        const u = use.get(team) ?? { cores: 0, gpus: 0 };
+        u.cores += cores;
+        u.gpus += gpus;
+        use.set(team, u);
+      }
+    const { teams } = this.ctx.settings;
+    const inside = guaranteedJobs([...this.jobs.values()], teams);
+    return { teams, use, guaranteed: (job) => inside.has(job) };
+  }
+}
--- /dev/null
+++ b/src/core/ordering.ts
@@ -0,0 +1,112 @@
+/** The order in which waiting jobs are looked at: turns first, then priority and the aims that can be met. */
+import { mergeOrders, orderByAims, type AimOrder, type Contender } from './aims.js';
+import type { Context } from './context.js';
+import type { Estate } from './estate.js';
+import type { ActiveJob } from './jobs.js';
+import { SECOND, type Micros } from './model.js';
+import { turnOrder } from './teams.js';
+
+export class Ordering {
+  /** Team's turns: since when its oldest job has been at the head, and when the next turn is due. */
+  private readonly turns = new Map<string, { job: ActiveJob | null; since: Micros; next: Micros }>();
+
+  private readonly ctx: Context;
+
+  constructor(private readonly estate: Estate) {
+    this.ctx = estate.ctx;
+  }
+
+  /** Whether it is this job's turn. */
+  hasTurn(job: ActiveJob): boolean {
+    return this.turns.get(job.spec.team)?.job === job;
+  }
+
+  /** Jobs whose turn it is first, then by priority and by the aims that can still be met. */
+  inOrder(): ActiveJob[] {
+    const waiting = turnOrder(
+      [...this.estate.jobs.values()].filter((j) => this.estate.startable(j)),
+      this.ctx.settings.teams,
+    );
+    const first = this.dueTurns(waiting);
+    for (const j of waiting) if (j.promisedUntil > this.ctx.now && !first.includes(j)) first.push(j);
+    const rest = waiting.filter((j) => !first.includes(j));
+    const levels = new Map<string, ActiveJob[]>();
+    for (const j of rest) {
+      const key = `${j.priority}|${j.spec.gpus > 0 ? 'gpu' : 'cpu'}`;
+      const level = levels.get(key) ?? [];
+      level.push(j);
+      levels.set(key, level);
+    }
+    const ordered: ActiveJob[] = [];
+    for (const priority of [3, 2, 1, 0]) {
+      const orders = ['cpu', 'gpu']
+        .map((kind) => ({ kind, jobs: levels.get(`${priority}|${kind}`) }))
+        .filter((l) => l.jobs !== undefined)
+        .map((l) => this.byAims(l.jobs!, l.kind === 'gpu', priority));
+      ordered.push(...mergeOrders(orders));
+    }
+    return [...first, ...ordered];
+  }
+
+  private dueTurns(waiting: readonly ActiveJob[]): ActiveJob[] {
+    const { tuning } = this.ctx.settings;
+    const { now } = this.ctx;
+    const oldest = new Map<string, ActiveJob>();
+    for (const j of waiting) {
+      const o = oldest.get(j.spec.team);
+      // Of the highest priority that waits: a turn must not put low work ahead of what may preempt it.
+      if (o === undefined || j.priority > o.priority || (j.priority === o.priority && j.at < o.at))
+        oldest.set(j.spec.team, j);
+    }
+    const out: ActiveJob[] = [];
+    for (const [team, job] of oldest) {
+      const t = this.turns.get(team) ?? { job: null, since: now, next: now + tuning.turnEveryUs };
+      this.turns.set(team, t);
+      if (t.job !== null && !waiting.includes(t.job)) {
+        // It started, or ended: the turn is over.
+        t.job = null;
+        t.next = now + tuning.turnEveryUs;
+      }
+      if (t.job === null && now >= t.next) {
+        t.job = job;
+        t.since = now;
+      }
+      if (t.job === null) continue;
+      if (now - t.since > tuning.turnWaitUs) {
+        // The drain was bounded: others get on, and the turn comes round again.
+        t.job = null;
+        t.next = now + tuning.turnEveryUs;
+      } else out.push(t.job);
+    }
+    return out;
+  }
+
+  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: number): AimOrder {
+    let total = 0;
+    let free = 0;
+    for (const m of this.estate.machines.values()) {
+      const type = this.ctx.types.get(m.type);
+      if (type === undefined || m.retiring !== null) continue;
+      const room = m.freeOf(type);
+      total += gpu ? type.gpus : type.cores;
+      if (!m.up) continue;
+      free += Math.max(0, gpu ? room.gpus : room.cores);
+      // Room held by lower priorities can be had: without it, large jobs seem to come too late always.
+      for (const a of m.attempts.values())
+        if (a.job.priority < priority) free += gpu ? a.job.spec.gpus : a.job.spec.cores;
+    }
+    let work = 0;
+    let amounts = 0;
+    const contenders = jobs.map((job): Contender => {
+      const { spec } = job;
+      const credit = job.credit.get(-1) ?? 0;
+      const run = this.estate.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, credit);
+      const amount = job.waiting * (gpu ? spec.gpus : spec.cores);
+      work += run * amount;
+      amounts += amount;
+      return { job, amount, latest: this.estate.slackOf(job) };
+    });
+    const mean = amounts > 0 ? work / amounts : SECOND;
+    return orderByAims(contenders, free, total / Math.max(mean, SECOND));
+  }
+}
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -40,17 +40,19 @@
 import { pageRoom } from './pages.js';
 import { bytesOf, endedRecord, readActive, readEnded } from './records.js';
 import { Roster } from './roster.js';
-import { fits, placeAllowed, typeAllowed } from './room.js';
-import type { Change, Group, Picture, Slot, Step } from './board.js';
+import { fits, placeAllowed } from './room.js';
+import type { Group, Step } from './board.js';
 import { search } from './search.js';
-import { latestStart, mergeOrders, orderByAims, type AimOrder, type Contender } from './aims.js';
 import { stagesAhead } from './ahead.js';
+import { Clearing } from './clearing.js';
+import { Consolidation } from './consolidation.js';
+import { Estate, HANDOVER } from './estate.js';
+import { Imaging } from './imaging.js';
+import { Ordering } from './ordering.js';
 import { Cascade } from './cascade.js';
 import { Dependencies, type DependencyHost } from './dependencies.js';
 import { Endings } from './endings.js';
-import { Clearings, SETTLED, type Rights } from './preemption.js';
-import { guaranteedJobs, turnOrder, Usage } from './teams.js';
-import { Timings } from './timings.js';
+import type { Timings } from './timings.js';
 import { Writer } from './writer.js';
 
 /** Room for raising the token and numbering attempts within a term; products stay below 2^53. */
@@ -60,38 +62,26 @@
 const MAX_REPRESENTED = 160;
 /** Plans pause for this many times what the last one took: users and workers must get through between. */
 const PLAN_PAUSE = 6;
-/** How long a machine's slot is kept in the picture while nothing changes there. */
-const PICTURE_FRESH = 2_500 * MILLI;
-/** A stopped task waits for about this share of how long others of its class wait: it was in order before. */
-const REQUEUE_SHARE = 0.4;
-/** What a stopped task loses at least: it saves, waits for another place, and fetches its image there. */
-const PRESSED = 30 * SECOND;
-/** A wait that is never worth stopping others for, and the one that is where no aim can be met any more. */
-const LEAST_WAIT = 8 * SECOND;
-const HOPELESS_WAIT = 60 * SECOND;
-/** From the decision to stop others until the job runs in their place, with time for a second try. */
-const CLEARING_TIME = 20 * SECOND;
-/** Attempts that one plan stops for others, about. */
-const MAX_VICTIMS = 60;
 const MAX_ORDERS = 400;
 /** A new leader rents nothing until so many report intervals have passed, or all but this share is known. */
 const REBUILD_REPORTS = 3;
 const REBUILD_SHARE = 0.1;
 const CHAINS_FRESH = 2 * SECOND;
-/** From a decision to start until the task runs, where its image is there. */
-const SETUP = 2 * SECOND;
-/** From the end of a job's last task until the next job's tasks run: report, record, plan, record, start. */
-const HANDOVER = 3 * SECOND;
 
 export class Scheduler implements FleetHost {
   readonly term: number;
-  private readonly machinesByName = new Map<string, Machine>();
-  private readonly jobs = new Map<string, ActiveJob>();
+  private readonly estate: Estate;
+  private readonly machinesByName: Map<string, Machine>;
+  private readonly jobs: Map<string, ActiveJob>;
+  private readonly ordering: Ordering;
+  private readonly imaging: Imaging;
+  private readonly clearing: Clearing;
+  private readonly consolidation: Consolidation;
   private readonly writer: Writer;
   private readonly fleet: Fleet;
   private readonly progress: ProgressBook;
   private readonly roster: Roster;
-  private readonly timings = new Timings();
+  private readonly timings: Timings;
   private readonly deps: Dependencies;
   private readonly cascade: Cascade;
   private readonly endings: Endings;
@@ -121,6 +111,19 @@
     private readonly desk: Desk,
   ) {
     this.term = office.term;
+    this.estate = new Estate(ctx);
+    this.machinesByName = this.estate.machines;
+    this.jobs = this.estate.jobs;
+    this.timings = this.estate.timings;
+    const stop = (a: Attempt, graceUs: Micros): void => {
+      this.stopAttempt(a, graceUs);
+    };
+    this.ordering = new Ordering(this.estate);
+    this.imaging = new Imaging(this.estate);
+    this.clearing = new Clearing(this.estate, stop);
+    this.consolidation = new Consolidation(this.estate, stop, (m, reason, latest) => {
+      this.retireWhenEmpty(m, reason, latest);
+    });
     this.nextAttempt = office.term * ATTEMPTS_PER_TERM;
     this.entitledSince = ctx.now;
     this.writer = new Writer(ctx, office.version, () => {
@@ -181,7 +184,7 @@
         this.ctx.info('jobs.doomed', { cause, jobs: jobs.map((j) => j.id) });
         this.cascade.add(jobs);
       },
-      expected: (job) => this.expectedOf(job),
+      expected: (job) => this.estate.expectedOf(job),
     };
   }
 
@@ -207,6 +210,10 @@
     return this.machinesByName.get(name);
   }
 
+  thrifty(): boolean {
+    return this.estate.thrifty();
+  }
+
   changed(): void {
     this.planSoon();
   }
@@ -789,7 +796,7 @@
     for (const a of [...m.attempts.values()]) {
       if (a.stopping !== null) continue;
       const { spec } = a.job;
-      const ends = this.remaining(a);
+      const ends = this.estate.remaining(a);
       if (spec.shape !== 'service' && ends < left * 0.6) continue;
       const grace = Math.max(0, Math.min(spec.saveUs + SECOND, left - SECOND));
       if (spec.shape === 'gang') {
@@ -932,212 +939,12 @@
     });
   }
 
-  private remaining(a: Attempt): Micros {
-    const { spec } = a.job;
-    if (spec.shape === 'service') return 1e13;
-    const credit = a.job.credit.get(spec.shape === 'gang' ? -1 : a.index) ?? 0;
-    const elapsed = credit + (a.runningAt === null ? 0 : this.ctx.now - a.runningAt);
-    return Math.round(
-      this.timings.remaining(spec.class, a.machine.type, spec.estimateUs, elapsed) * a.machine.slow,
-    );
-  }
-
-  /** Kept from plan to plan while nothing changes on the machine, for as long as predictions stay fresh. */
-  private slotOf(m: Machine, type: MachineType, thrifty: boolean): Slot | null {
-    const booting = !m.up && m.retiring === null && !m.unresolved && m.session === 0;
-    if (!booting && !m.usable()) return null;
-    const { now } = this.ctx;
-    const kept = m.pictured;
-    if (
-      !booting &&
-      kept !== null &&
-      kept.changes === m.changes &&
-      now - kept.at < PICTURE_FRESH &&
-      kept.slot.type === type &&
-      (kept.slot.changes[0]?.at ?? Infinity) > now + 100 * MILLI
-    )
-      return { ...kept.slot, sunk: m.standing || !thrifty, ready: now };
-    const slot = this.makeSlot(m, type, thrifty, booting);
-    if (!booting) m.pictured = { changes: m.changes, at: now, slot: { ...slot } };
-    return slot;
-  }
-
-  private makeSlot(m: Machine, type: MachineType, thrifty: boolean, booting: boolean): Slot {
-    const { now } = this.ctx;
-    const images = new Set(m.images.keys());
-    const changes: Change[] = [];
-    for (const a of m.attempts.values()) {
-      images.add(a.job.spec.image);
-      const left =
-        a.stopping !== null
-          ? a.stopping.graceUs + SECOND
-          : this.remaining(a) +
-            (a.runningAt === null && type.fetchGbPerS > 0 && !m.images.has(a.job.spec.image)
-              ? (a.job.spec.imageGb / type.fetchGbPerS) * SECOND
-              : 0);
-      const { cores, gpus, memoryGb } = a.job.spec;
-      changes.push({ at: now + left, cores, gpus, memoryGb });
-    }
-    changes.sort((x, y) => x.at - y.at);
-    const due = m.rentedAt + type.bootUs;
-    const ready = booting ? Math.max(due, now + Math.max(2 * SECOND, 0.2 * (now - m.rentedAt))) : now;
-    return {
-      key: m.name,
-      type,
-      zone: m.zone,
-      spot: m.spot,
-      sunk: m.standing || !thrifty,
-      machine: m.name,
-      ready,
-      free: m.freeOf(type),
-      changes,
-      images,
-      slow: m.slow,
-      used: false,
-    };
-  }
-
-  private picture(): Picture {
-    const slots: Slot[] = [];
-    const thrifty = this.thrifty();
-    for (const m of this.machinesByName.values()) {
-      const type = this.ctx.types.get(m.type);
-      const slot = type === undefined ? null : this.slotOf(m, type, thrifty);
-      if (slot !== null) slots.push(slot);
-    }
-    return {
-      now: this.ctx.now,
-      slots,
-      types: [...this.ctx.types.values()],
-      rentable: this.fleet.rentable(),
-      kinds: this.fleet.kinds(),
-      rented: new Map(),
-      predictor: {
-        runTime: (spec, type, credit) =>
-          this.timings.remaining(spec.class, type.name, spec.estimateUs, credit),
-      },
-    };
-  }
-
-  private usage(): Usage {
-    const u = new Usage();
-    for (const m of this.machinesByName.values()) for (const a of m.attempts.values()) u.add(a.job.spec, 1);
-    return u;
-  }
-
-  /** While something unaccounted for may run, a team with a limit starts nothing. */
-  private unaccounted(): boolean {
-    for (const m of this.machinesByName.values()) if (m.unresolved || m.strangers > 0) return true;
-    return false;
-  }
-
-  private startable(job: ActiveJob): boolean {
-    if (job.phase !== 'active' || job.broken || job.complete || job.waiting <= 0) return false;
-    if (job.unreadable || job.held) return false;
-    if (job.notBefore > this.ctx.now) return false;
-    if (job.spec.shape === 'gang' && job.live.size > 0) return false;
-    for (const name of job.unresolved) if (this.machinesByName.get(name)?.unresolved === true) return false;
-    return true;
-  }
-
-  /** Team's turns: since when its oldest job has been at the head, and when the next turn is due. */
-  private readonly turns = new Map<string, { job: ActiveJob | null; since: Micros; next: Micros }>();
-
-  /** Jobs whose turn it is first, then by priority and by the aims that can still be met. */
-  private inOrder(): ActiveJob[] {
-    const waiting = turnOrder(
-      [...this.jobs.values()].filter((j) => this.startable(j)),
-      this.ctx.settings.teams,
-    );
-    const first = this.dueTurns(waiting);
-    for (const j of waiting) if (j.promisedUntil > this.ctx.now && !first.includes(j)) first.push(j);
-    const rest = waiting.filter((j) => !first.includes(j));
-    const levels = new Map<string, ActiveJob[]>();
-    for (const j of rest) {
-      const key = `${j.priority}|${j.spec.gpus > 0 ? 'gpu' : 'cpu'}`;
-      const level = levels.get(key) ?? [];
-      level.push(j);
-      levels.set(key, level);
-    }
-    const ordered: ActiveJob[] = [];
-    for (const priority of [3, 2, 1, 0]) {
-      const orders = ['cpu', 'gpu']
-        .map((kind) => ({ kind, jobs: levels.get(`${priority}|${kind}`) }))
-        .filter((l) => l.jobs !== undefined)
-        .map((l) => this.byAims(l.jobs!, l.kind === 'gpu', priority));
-      ordered.push(...mergeOrders(orders));
-    }
-    return [...first, ...ordered];
-  }
-
-  private dueTurns(waiting: readonly ActiveJob[]): ActiveJob[] {
-    const { tuning } = this.ctx.settings;
-    const { now } = this.ctx;
-    const oldest = new Map<string, ActiveJob>();
-    for (const j of waiting) {
-      const o = oldest.get(j.spec.team);
-      // Of the highest priority that waits: a turn must not put low work ahead of what may preempt it.
-      if (o === undefined || j.priority > o.priority || (j.priority === o.priority && j.at < o.at))
-        oldest.set(j.spec.team, j);
-    }
-    const out: ActiveJob[] = [];
-    for (const [team, job] of oldest) {
-      const t = this.turns.get(team) ?? { job: null, since: now, next: now + tuning.turnEveryUs };
-      this.turns.set(team, t);
-      if (t.job !== null && !waiting.includes(t.job)) {
-        // It started, or ended: the turn is over.
-        t.job = null;
-        t.next = now + tuning.turnEveryUs;
-      }
-      if (t.job === null && now >= t.next) {
-        t.job = job;
-        t.since = now;
-      }
-      if (t.job === null) continue;
-      if (now - t.since > tuning.turnWaitUs) {
-        // The drain was bounded: others get on, and the turn comes round again.
-        t.job = null;
-        t.next = now + tuning.turnEveryUs;
-      } else out.push(t.job);
-    }
-    return out;
-  }
-
-  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: number): AimOrder {
-    let total = 0;
-    let free = 0;
-    for (const m of this.machinesByName.values()) {
-      const type = this.ctx.types.get(m.type);
-      if (type === undefined || m.retiring !== null) continue;
-      const room = m.freeOf(type);
-      total += gpu ? type.gpus : type.cores;
-      if (!m.up) continue;
-      free += Math.max(0, gpu ? room.gpus : room.cores);
-      // Room held by lower priorities can be had: without it, large jobs seem to come too late always.
-      for (const a of m.attempts.values())
-        if (a.job.priority < priority) free += gpu ? a.job.spec.gpus : a.job.spec.cores;
-    }
-    let work = 0;
-    let amounts = 0;
-    const contenders = jobs.map((job): Contender => {
-      const { spec } = job;
-      const credit = job.credit.get(-1) ?? 0;
-      const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, credit);
-      const amount = job.waiting * (gpu ? spec.gpus : spec.cores);
-      work += run * amount;
-      amounts += amount;
-      return { job, amount, latest: this.slackOf(job) };
-    });
-    const mean = amounts > 0 ? work / amounts : SECOND;
-    return orderByAims(contenders, free, total / Math.max(mean, SECOND));
-  }
-
   private groups(): { groups: Group[]; jobs: Map<Group, ActiveJob> } {
-    const usage = this.usage();
-    const unaccounted = this.unaccounted();
+    const usage = this.estate.usage();
+    const unaccounted = this.estate.unaccounted();
     const jobs = new Map<Group, ActiveJob>();
     const groups: Group[] = [];
-    const order = this.inOrder();
+    const order = this.ordering.inOrder();
     const lowest = order.reduce((least, j) => Math.min(least, j.priority), 3);
     // Work with and without GPUs is limited apart: many waiting gangs must not keep arrays from the plan.
     const taken = [0, 0];
@@ -1158,12 +965,9 @@
         zones: job.zones(),
         avoid: new Set(job.failedOn.keys()),
         credit: job.credit.get(-1) ?? 0,
-        margin: this.marginOf(job),
-        patience: this.patienceOf(job),
-        reserve:
-          spec.priority > lowest ||
-          job.promisedUntil > this.ctx.now ||
-          this.turns.get(spec.team)?.job === job,
+        margin: this.estate.marginOf(job),
+        patience: this.estate.patienceOf(job),
+        reserve: spec.priority > lowest || job.promisedUntil > this.ctx.now || this.ordering.hasTurn(job),
         only: job.promisedUntil > this.ctx.now ? job.promisedOn : null,
         phantom: false,
         runs: new Map(),
@@ -1183,8 +987,8 @@
     let boot = 0;
     for (const t of this.ctx.types.values()) boot = Math.max(boot, t.bootUs);
     const endOf = (job: ActiveJob): Micros => {
-      let left = job.waiting > 0 ? this.expectedOf(job) : 0;
-      for (const a of job.live.values()) left = Math.max(left, this.remaining(a));
+      let left = job.waiting > 0 ? this.estate.expectedOf(job) : 0;
+      for (const a of job.live.values()) left = Math.max(left, this.estate.remaining(a));
       return now + left + HANDOVER;
     };
     const ahead = stagesAhead(this.jobs.values(), this.deps, (id) => this.jobs.get(id), endOf, now + boot);
@@ -1194,8 +998,8 @@
       zones: new Map(),
       avoid: new Set(),
       credit: 0,
-      margin: this.marginOf(job),
-      patience: this.patienceOf(job),
+      margin: this.estate.marginOf(job),
+      patience: this.estate.patienceOf(job),
       only: null,
       reserve: false,
       phantom: true,
@@ -1205,17 +1009,6 @@
     }));
   }
 
-  /**
-   * The settings don't say whether money is an aim. Who keeps machines ready pays for capacity anyway; who
-   * starts from nothing pays by use.
-   */
-  thrifty(): boolean {
-    const { thrift } = this.ctx.settings.tuning;
-    if (thrift !== 'auto') return thrift === 'on';
-    for (const m of this.machinesByName.values()) if (m.standing) return false;
-    return true;
-  }
-
   /**
    * A new leader rebuilds from reports first. Machines that have not reported to it are not in its picture: it
    * would rent for all that waits beside them, and did so at each change of leader, the dearest types too.
@@ -1232,37 +1025,6 @@
     return unknown > REBUILD_SHARE * all;
   }
 
-  private slackOf(job: ActiveJob): Micros | null {
-    const { spec } = job;
-    const credit = job.credit.get(-1) ?? 0;
-    const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, credit);
-    return latestStart(job, this.ctx.settings.objectives, this.ctx.wallNow, run, SETUP);
-  }
-
-  /** From a job's release to its end: its run, its image, and what lies between one job and the next. */
-  private expectedOf(job: ActiveJob): Micros {
-    const { spec } = job;
-    const run = this.timings.remaining(spec.class, spec.types?.[0] ?? '', spec.estimateUs, 0);
-    let rate = 0;
-    for (const t of this.ctx.types.values())
-      if (typeAllowed(spec, t) && t.fetchGbPerS > 0) rate = Math.max(rate, t.fetchGbPerS);
-    return run + (rate > 0 ? Math.round((spec.imageGb / rate) * SECOND) : 0) + HANDOVER;
-  }
-
-  private patienceOf(job: ActiveJob): Micros {
-    const slack = this.slackOf(job);
-    return slack === null ? 60 * SECOND : Math.round(slack / 2);
-  }
-
-  /** Work that can wait a while and still meet its aim need not have machines rented for it at once. */
-  private marginOf(job: ActiveJob): Micros {
-    if (!this.thrifty()) return 0;
-    const { rentMarginUs } = this.ctx.settings.tuning;
-    const slack = this.slackOf(job);
-    if (slack === null) return rentMarginUs;
-    return rentMarginUs + Math.min(rentMarginUs, Math.round(slack / 4));
-  }
-
   private plan(): void {
     if (this.ctx.types.size === 0) return;
     const began = this.ctx.stopwatch();
@@ -1280,7 +1042,7 @@
     const t1 = this.ctx.stopwatch();
     const { tuning } = this.ctx.settings;
     const decision = search(
-      this.picture(),
+      this.imaging.picture(this.fleet.rentable(), this.fleet.kinds()),
       [...groups, ...this.fleet.headroom(), ...this.groupsAhead()],
       {
         budgetUs: tuning.searchBudgetUs,
@@ -1300,7 +1062,7 @@
       byJob.set(job, steps);
     }
     for (const [job, steps] of byJob) this.act(job, steps);
-    this.preempt(byJob);
+    this.clearing.preempt(byJob);
     this.fleet.rentFor(decision);
     this.needed = new Set(
       decision.picture.slots.filter((s) => s.used && s.machine !== null).map((s) => s.machine!),
@@ -1318,172 +1080,6 @@
       });
   }
 
-  private rights(): Rights {
-    const use = new Map<string, { cores: number; gpus: number }>();
-    for (const m of this.machinesByName.values())
-      for (const a of m.attempts.values()) {
-        const { team, cores, gpus } = a.job.spec;
-        const u = use.get(team) ?? { cores: 0, gpus: 0 };
-        u.cores += cores;
-        u.gpus += gpus;
-        use.set(team, u);
-      }
-    const { teams } = this.ctx.settings;
-    const inside = guaranteedJobs([...this.jobs.values()], teams);
-    return { teams, use, guaranteed: (job) => inside.has(job) };
-  }
-
-  /**
-   * A stopped task saves, waits, and fetches its image elsewhere: that is done only once waiting on would
-   * endanger the aim of the job that wants the room. On full-size days arrays were else stopped thousands of
-   * times for gangs that had time, and missed half of their deadlines.
-   */
-  private waitBeforeStopping(job: ActiveJob): Micros {
-    const slack = this.slackOf(job);
-    return slack === null ? HOPELESS_WAIT : Math.max(LEAST_WAIT, slack - CLEARING_TIME);
-  }
-
-  private clearings(): Clearings {
-    const { now, settings, types } = this.ctx;
-    // Room that is being made for one job is not made for another.
-    const promised = new Set<string>();
-    for (const j of this.jobs.values())
-      if (j.promisedUntil > now) for (const name of j.promisedOn ?? []) promised.add(name);
-    // A start counts for an aim on waiting only if it is not stopped at once; where there is no such aim,
-    // stopping costs what has not been saved yet, which is nothing, and the time to save.
-    const awaited = new Set(settings.objectives.filter((o) => o.kind === 'wait').map((o) => o.class));
-    // A stopped task waits about as long as others of its class wait now.
-    const waits = new Map<string, { jobs: number; age: Micros }>();
-    for (const j of this.jobs.values()) {
-      if (j.spec.deadlineUs === null || j.phase !== 'active' || j.held || j.waiting <= 0) continue;
-      const w = waits.get(j.spec.class) ?? { jobs: 0, age: 0 };
-      waits.set(j.spec.class, w);
-      w.jobs++;
-      w.age += this.ctx.wallNow - j.at;
-    }
-    const loss = (job: ActiveJob): Micros => {
-      const w = waits.get(job.spec.class);
-      return Math.max(PRESSED, w === undefined ? 0 : REQUEUE_SHARE * (w.age / w.jobs));
-    };
-    return new Clearings(
-      [...this.machinesByName.values()].filter((m) => !promised.has(m.name)),
-      types,
-      this.rights(),
-      (a) => {
-        const least = awaited.has(a.job.spec.class) ? SETTLED : Math.max(a.job.spec.saveUs * 2, 5 * SECOND);
-        return a.runningAt !== null && now - a.runningAt >= least && !this.pressed(a, loss(a.job));
-      },
-    );
-  }
-
-  /** Whether its job can still meet a deadline, but hardly so if it is stopped and has to wait again. */
-  private pressed(a: Attempt, loss: Micros): boolean {
-    const { spec, at } = a.job;
-    if (spec.deadlineUs === null) return false;
-    const left = this.remaining(a);
-    for (const o of this.ctx.settings.objectives) {
-      if (o.kind !== 'deadline' || o.class !== spec.class) continue;
-      const slack = spec.deadlineUs * o.times - (this.ctx.wallNow - at) - left;
-      if (slack >= 0 && slack < loss) return true;
-    }
-    return false;
-  }
-
-  private lowestRunning(): number {
-    let lowest = 3;
-    for (const m of this.machinesByName.values())
-      for (const a of m.attempts.values()) lowest = Math.min(lowest, a.job.priority);
-    return lowest;
-  }
-
-  /** Stops what work of higher priority, or a guarantee, has a right to, if it would wait much longer. */
-  private preempt(byJob: ReadonlyMap<ActiveJob, readonly Step[]>): void {
-    // Looking for victims goes through all machines: only where there may be some, and a few times a plan.
-    const { teams } = this.ctx.settings;
-    const guarantees = teams.length > 1 && teams.some((t) => t.cores > 0 || t.gpus > 0);
-    const lowest = this.lowestRunning();
-    const { now } = this.ctx;
-    let clearings: Clearings | null = null;
-    let stopped = 0;
-    for (const [job, steps] of byJob) {
-      if (stopped >= MAX_VICTIMS) break;
-      if (job.live.size > 0 || job.phase !== 'active' || job.promisedUntil > now) continue;
-      if (!guarantees && job.priority <= lowest) continue;
-      const start = Math.max(...steps.map((s) => s.start));
-      if (start <= now + this.waitBeforeStopping(job)) continue;
-      clearings ??= this.clearings();
-      const count = job.spec.shape === 'gang' ? job.spec.tasks : Math.min(job.waiting, 16);
-      const clearing = clearings.take(job, count);
-      if (clearing === null || clearing.victims.length === 0) continue;
-      const { victims } = clearing;
-      job.promisedOn = clearing.machines;
-      stopped += victims.length;
-      // What is being freed is for this job: others must not slip in before all of it is there.
-      job.promisedUntil = this.ctx.now + Math.max(...victims.map((v) => v.job.spec.saveUs)) + 6 * SECOND;
-      this.ctx.debug('preempt', () => ({
-        job: job.id,
-        victims: victims.map((v) => `${v.job.id}/${v.index}`),
-      }));
-      for (const v of victims) this.stopAttempt(v, v.job.spec.saveUs + SECOND);
-    }
-  }
-
-  /**
-   * Moves the last tasks of a rented machine that is mostly empty to where there is room, so that it can
-   * be returned. Only tasks that save, have run a while and still have a while to go.
-   */
-  private consolidate(): void {
-    const { now } = this.ctx;
-    for (const j of this.jobs.values()) if (this.startable(j)) return;
-    for (const m of this.machinesByName.values()) if (m.retiring === 'consolidated') return;
-    let best: { m: Machine; share: number } | null = null;
-    for (const m of this.machinesByName.values()) {
-      const type = this.ctx.types.get(m.type);
-      if (type === undefined || m.standing || !m.usable() || m.attempts.size === 0) continue;
-      const free = m.freeOf(type);
-      const share = 1 - (type.gpus > 0 ? free.gpus / type.gpus : free.cores / type.cores);
-      if (share > 0.5 || (best !== null && share >= best.share)) continue;
-      const movable = [...m.attempts.values()].every(
-        (a) =>
-          a.state === 'running' &&
-          a.stopping === null &&
-          a.runningAt !== null &&
-          now - a.runningAt > 35 * SECOND &&
-          a.job.spec.shape === 'array' &&
-          a.job.spec.checkpointUs > 0,
-      );
-      const longest = Math.max(...[...m.attempts.values()].map((a) => this.remaining(a)));
-      if (movable && longest > 30 * SECOND && this.fitsElsewhere(m)) best = { m, share };
-    }
-    if (best === null) return;
-    const { m } = best;
-    this.ctx.info('machine.consolidate', { machine: m.name, tasks: m.attempts.size });
-    m.retiring = 'consolidated';
-    for (const a of [...m.attempts.values()]) this.stopAttempt(a, a.job.spec.saveUs + SECOND);
-    this.retireWhenEmpty(m, 'consolidated', now + 20 * SECOND);
-  }
-
-  /** Whether everything on a machine has room on fuller ones. */
-  private fitsElsewhere(m: Machine): boolean {
-    const rooms: { machine: Machine; free: ReturnType<Machine['freeOf']> }[] = [];
-    for (const o of this.machinesByName.values()) {
-      const type = this.ctx.types.get(o.type);
-      if (o === m || type === undefined || !o.usable() || o.attempts.size < m.attempts.size) continue;
-      rooms.push({ machine: o, free: o.freeOf(type) });
-    }
-    for (const a of m.attempts.values()) {
-      const { spec } = a.job;
-      const r = rooms.find(
-        (x) => placeAllowed(spec, x.machine.type, x.machine.zone, x.machine.spot) && fits(spec, x.free),
-      );
-      if (r === undefined) return false;
-      r.free.cores -= spec.cores;
-      r.free.gpus -= spec.gpus;
-      r.free.memoryGb -= spec.memoryGb;
-    }
-    return true;
-  }
-
   /** Starts what the plan starts now. Room, zone and kind are checked again against the newest picture. */
   private act(job: ActiveJob, steps: readonly Step[]): void {
     const { now } = this.ctx;
@@ -1630,7 +1226,7 @@
       );
     }
     if (this.sweeps % 4 === 0 || this.planAgain) this.planSoon();
-    if (this.sweeps % 6 === 0 && entitled && this.thrifty()) this.consolidate();
+    if (this.sweeps % 6 === 0 && entitled && this.thrifty()) this.consolidation.consolidate();
     // Pages of the version before, or too large, are taken apart while nothing else waits to be written.
     if (this.writer.backlog < this.ctx.settings.txnOps) {
       this.roster.settle();
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -24,7 +24,6 @@
   free: { cores: type.cores, gpus: type.gpus, memoryGb: type.memoryGb },
   changes: [],
   images: new Set(),
-  slow: 1,
   used: false,
   ...more,
 });
