A gang begins where all members have room now on places that are not dear, if it then finishes sooner

Each member took the place that ranks first for it (warm, or on a machine that is kept anyway), so that the plan began no gang at once and several held each other's places.

--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -167,6 +167,9 @@
 /** What a place that is dearer by its job's lowest price again counts as, in waiting time. */
 const DEAR_WEIGHT: Micros = 8_000_000;
 
+/** From so many times the lowest price on a machine is dear for a job. */
+const DEAR_MACHINE = 3;
+
 /** A task is small beside one that takes so many times its cores. */
 const SMALL = 4;
 /** What a place counts for, in waiting time, that keeps a large task out. */
@@ -202,6 +205,8 @@
   readonly finish: Micros;
   readonly count: number;
   readonly rank: number;
+  /** On a machine that costs several times what its job could do with. */
+  readonly dear: boolean;
   readonly warm: boolean;
 }
 
@@ -592,17 +597,22 @@
             g.patience,
             Math.round(DEAR_WEIGHT * Math.max(0, dearness(this.picture, g, s.type, s.spot) - 1)),
           );
-    const rank =
-      finish +
-      (inGap ? 0 : waste(spec, s, finish, priceOf(this.picture, g, s.type, s.spot), g.patience)) +
-      blocks +
-      dear +
-      extra +
-      avoid;
+    const price = s.sunk ? 1 : priceOf(this.picture, g, s.type, s.spot);
+    const wasted = inGap ? 0 : waste(spec, s, finish, price, g.patience);
+    const rank = finish + wasted + blocks + dear + extra + avoid;
     if (rank >= bound) return null;
     const fit = Math.max(1, timesFits(spec, this.room));
     const count = gap !== null && gap > 0 ? Math.min(fit, gap) : fit;
-    return { seat, rentable, start, finish, count, rank, warm: fetch === 0 };
+    return {
+      seat,
+      rentable,
+      start,
+      finish,
+      count,
+      rank,
+      dear: price >= DEAR_MACHINE || (s.sunk && spec.gpus === 0 && s.type.gpus > 0),
+      warm: fetch === 0,
+    };
   }
 
   /**
--- a/src/core/search.ts
+++ b/src/core/search.ts
@@ -25,26 +25,39 @@
   list.splice(i, 0, o);
 };
 
+const any = (): boolean => true;
+
 /** The best places that together hold `wanted` tasks, best first; fewer where there are not as many. */
 const bestOptions = (
   b: Board,
   g: Group,
   zoneAllowed: (zone: string) => boolean,
   wanted: number,
+  suits: (o: Option) => boolean,
 ): Option[] => {
   const best: Option[] = [];
   let total = 0;
+  let bound = Infinity;
   b.eachOption(g, zoneAllowed, wanted, (o) => {
+    if (!suits(o)) return bound;
     insertOption(best, o);
     total += o.count;
     while (best.length > 1 && total - best[best.length - 1]!.count >= wanted) total -= best.pop()!.count;
-    return total >= wanted ? best[best.length - 1]!.rank : Infinity;
+    bound = total >= wanted ? best[best.length - 1]!.rank : Infinity;
+    return bound;
   });
   return best;
 };
 
 /** Places tasks a chunk at a time where they finish first. Null: some can be placed nowhere. */
-const placeTasks = (b: Board, g: Group, zone: string | null, first: Option | null): Step[] | null => {
+const placeTasks = (
+  b: Board,
+  g: Group,
+  zone: string | null,
+  first: Option | null,
+  /** Null: any place. */
+  suits: ((o: Option) => boolean) | null = null,
+): Step[] | null => {
   const steps: Step[] = [];
   const used = new Map<string, number>();
   const allowed = (z: string): boolean => (zone === null || z === zone) && zoneRoom(g, used, z) >= 1;
@@ -52,7 +65,7 @@
   let list: Option[] = [];
   let forced = first;
   while (left > 0) {
-    if (forced === null && list.length === 0) list = bestOptions(b, g, allowed, left);
+    if (forced === null && list.length === 0) list = bestOptions(b, g, allowed, left, suits ?? any);
     const o: Option | undefined = forced ?? list.shift();
     forced = null;
     if (o === undefined) return null;
@@ -63,15 +76,22 @@
     const count = Math.min(left, o.count, zoneRoom(g, used, seat.slot.zone));
     b.occupy(seat, g, count, o.start, o.finish);
     used.set(seat.slot.zone, (used.get(seat.slot.zone) ?? 0) + count);
-    steps.push({ group: g, seat, slot: seat.slot, count, start: o.start, finish: o.finish });
+    steps.push({
+      group: g,
+      seat,
+      slot: seat.slot,
+      count,
+      start: o.start,
+      finish: o.finish,
+    });
     left -= count;
     if (left <= 0 || list.length === 0) continue;
     // What the same place, or another one rented like it, offers next takes part again.
     const bound = list[list.length - 1]!.rank;
     const again = g.only !== null || seat.slot.machine !== null || o.rentable !== null;
     const next = again ? b.offer(g, seat, null, bound) : null;
-    if (next !== null) insertOption(list, next);
-    if (o.rentable !== null) {
+    if (next !== null && (suits ?? any)(next)) insertOption(list, next);
+    if (o.rentable !== null && suits === null) {
       const more = b.offerRented(g, o.rentable, bound);
       if (more !== null) insertOption(list, more);
     }
@@ -93,16 +113,42 @@
 
 const lastFinish = (steps: readonly Step[]): Micros => Math.max(...steps.map((s) => s.finish));
 
+/**
+ * Each member where it ranks first may mean that all wait for the last one, though there is room for all now
+ * on places that each of them likes a little less: a cold image, a machine to be kept for longer. Several
+ * gangs then hold each other's places in the plan, and none begins. Seen on a krakow day: 60 places stood
+ * idle while ten gangs of 16 waited. Both are tried where they differ.
+ */
+const placeGang = (b: Board, g: Group, zone: string | null, first: Option | null): Step[] | null => {
+  const { now } = b.picture;
+  const mark = b.mark();
+  const roomNow = b.hasRoomNow(g, zone, g.count);
+  const free = (): Step[] | null => {
+    const raw = placeTasks(b, g, zone, first);
+    return raw === null ? null : asGang(b, raw);
+  };
+  const steps = free();
+  if (!roomNow || steps?.[0] === undefined || steps[0].start <= now) return steps;
+  const finish = lastFinish(steps);
+  b.rollback(mark);
+  // Dear machines are left out: gangs on them keep their GPUs from work that needs them.
+  const suits = (o: Option): boolean => o.start <= now && !o.dear;
+  const raw = placeTasks(b, g, zone, first !== null && suits(first) ? first : null, suits);
+  if (raw !== null) {
+    const atOnce = asGang(b, raw);
+    if (lastFinish(atOnce) < finish) return atOnce;
+  }
+  b.rollback(mark);
+  return free();
+};
+
 /** Places one group under earliest predicted finish. Null, and no trace, if it fits nowhere, now or later. */
 export const placeGroup = (b: Board, g: Group, first: Option | null = null): Step[] | null => {
   const mark = b.mark();
   const place = (zone: string | null): Step[] | null => {
-    const raw = placeTasks(b, g, zone, first);
-    if (raw === null) {
-      b.rollback(mark);
-      return null;
-    }
-    return g.spec.shape === 'gang' ? asGang(b, raw) : raw;
+    const steps = g.spec.shape === 'gang' ? placeGang(b, g, zone, first) : placeTasks(b, g, zone, first);
+    if (steps === null) b.rollback(mark);
+    return steps;
   };
   let zones = zoneChoices(b, g);
   if (first !== null && zones.length > 1) zones = [first.seat.slot.zone];
--- a/test/search.test.ts
+++ b/test/search.test.ts
@@ -341,3 +341,29 @@
   assert.equal(rents.picture.rented.get(rent), 1);
   assert.deepEqual(rents.steps, [], 'nothing of it starts');
 });
+
+test('a gang begins where all members have room now, if it is done sooner than by waiting for what each likes', () => {
+  // Seen on a krakow day: each of ten gangs held some free places in the plan and waited for the rest.
+  const type = typeOf('node', { cores: 4, memoryGb: 16, fetchGbPerS: 0.2 });
+  const idle = ['a1', 'a2', 'a3'].map((k) => slotOf(k, type, { sunk: false }));
+  const warm = ['w1', 'w2', 'w3'].map((k) =>
+    slotOf(k, type, {
+      sunk: false,
+      images: new Set(['img']),
+      free: { cores: 0, gpus: 0, memoryGb: 16 },
+      // Free soon, and busy for long: prolonging it costs nothing.
+      changes: [
+        { at: 8 * SECOND, cores: 4, gpus: 0, memoryGb: 0 },
+        { at: 400 * SECOND, cores: 0, gpus: 0, memoryGb: 0 },
+      ],
+    }),
+  );
+  const gang = groupOf(specOf('run-1', { shape: 'gang', tasks: 3, cores: 4, imageGb: 1 }), {
+    patience: 60 * SECOND,
+  });
+  const d = search(pictureOf([...idle, ...warm], { node: 100 }), [gang], limits, still);
+  assert.deepEqual(
+    d.steps.map((s) => s.start),
+    [0, 0, 0],
+  );
+});
