--- a/test/formats.test.ts
+++ b/test/formats.test.ts
@@ -147,3 +147,31 @@
   assert.deepEqual(route('POST', '/api/jobs/run-1'), { kind: 'refused', status: 405 });
   assert.deepEqual(route('GET', '/nothing'), { kind: 'refused', status: 404 });
 });
+
+test('named jobs are read once each; what is no list of other job ids is malformed', () => {
+  const needs = (awaits: unknown): readonly string[] | null => {
+    const r = decodeSubmission(encodeBody({ ...submission, awaits }));
+    return r.kind === 'submit' && r.spec !== null ? r.spec.needs : null;
+  };
+  assert.deepEqual(needs(undefined), []);
+  assert.deepEqual(needs(null), []);
+  assert.deepEqual(needs([]), []);
+  assert.deepEqual(needs(['run-2', 'run-1', 'run-2']), ['run-2', 'run-1']);
+  for (const wrong of ['run-1', {}, 7, [7], ['job-1'], ['run-'], [null], ['run-000412'], ['run-1', 'x']])
+    assert.equal(needs(wrong), null, JSON.stringify(wrong));
+});
+
+test('peers of the version before and of this one read each other; other bytes are dropped', () => {
+  // As the version before sends it.
+  const bytes = Buffer.from('0c646f636b2d300602' + '0a72756e2d37' + '0608' + '00', 'hex');
+  const message = {
+    kind: 'progress',
+    member: 'dock-0',
+    term: 3,
+    notes: [{ id: 'run-7', done: 3, running: 4 }],
+  } as const;
+  assert.deepEqual(decodePeer(bytes), message);
+  assert.deepEqual(encodePeer(message), bytes);
+  assert.equal(decodePeer(Buffer.concat([bytes, Buffer.from([1, 2])])), null);
+  assert.equal(decodePeer(bytes.subarray(0, 9)), null);
+});
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -27,3 +27,13 @@
   assert.equal(parseTuning('a_later_field: 1').silentUs, 10 * SECOND);
   assert.equal(parseTuning(null).thrift, 'auto');
 });
+
+test('the smaller of the present and the announced limits holds, whichever are announced', () => {
+  const plain = settingsFor('a', ['a'], '');
+  const next = settingsFor('a', ['a'], '', 'value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 15.0');
+  assert.deepEqual([plain.valueBytes, plain.txnOps, plain.stateWriteRps], [16_384, 16, 50]);
+  assert.deepEqual([next.valueBytes, next.txnOps, next.stateWriteRps], [2_048, 5, 15]);
+  assert.deepEqual([next.stateRps, next.formerValueBytes], [100, 16_384]);
+  const larger = settingsFor('a', ['a'], '', 'value_kb = 64.0');
+  assert.deepEqual([larger.valueBytes, larger.txnOps], [16_384, 16]);
+});
