--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -66,8 +66,6 @@
 /** A new leader rents nothing until so many report intervals have passed, or all but this share is known. */
 const REBUILD_REPORTS = 3;
 const REBUILD_SHARE = 0.1;
-/** A leader that this share of the machines doesn't reach gives the office up. */
-const CUT_OFF_SHARE = 0.9;
 const CHAINS_FRESH = 2 * SECOND;
 
 export class Scheduler implements FleetHost {
@@ -1325,9 +1323,7 @@
     // leaders would follow each other for ever without any staying until the machines' leases have run out.
     const { resignedAt } = this.leadership;
     const again = resignedAt !== null && this.ctx.now - resignedAt < 4 * this.ctx.settings.leaseUs;
-    // Nearly all of them: a few that were rented since may get through where hundreds don't. On a recorded day a
-    // leader that had lost its workers stayed for that reason until 531 leases had run out.
-    if (up >= 3 && quiet >= Math.ceil(CUT_OFF_SHARE * up) && !again && this.ctx.settings.peers.length > 0) {
+    if (up >= 3 && quiet === up && !again && this.ctx.settings.peers.length > 0) {
       this.leadership.resign(20 * SECOND, 'no worker reaches this node');
       return;
     }
