Budgets: a worker keeps the word of what was done until the books have it

Cause: the core lets a worker forget a result once the job's record has it, the books are written later. When the leader died in between, nobody knew how the attempt had ended, and all that it had ever run, hours perhaps, became the platform's.

Holds that pass by themselves (books being read after a change of leader) are no longer logged job by job.

Off, nothing is asked for.

Ruled out: recording each attempt's end at once (17 changes a second at fleet size), and taking the job's record of what is done for the end of an attempt (another attempt may have done it).

--- a/packages/budgets/src/feature.ts
+++ b/packages/budgets/src/feature.ts
@@ -1,5 +1,5 @@
 /** Budgets within a leader's term: joins the core's ports with books, limits and records. */
-import type { ActiveJob, Attempt, Machine } from '@shaleyoke/core/cluster';
+import type { ActiveJob, Attempt, Hold, Machine } from '@shaleyoke/core/cluster';
 import type { Item, Micros, ReportedTask } from '@shaleyoke/core/model';
 import { SECOND } from '@shaleyoke/core/model';
 import type { Feature, FeatureTerm, Links } from '@shaleyoke/core/ports';
@@ -27,14 +27,19 @@
 const LONGEST_GAP: Micros = 600 * SECOND;
 /** Ends that are told before the books are read. */
 const MAX_EARLY = 50_000;
+/** A worker keeps a result no longer than that for the books' sake. */
+const LONGEST_KEPT: Micros = 120 * SECOND;
 
 interface EarlyEnd {
   readonly job: string;
   readonly index: number;
   readonly no: number;
+  readonly done: boolean;
   readonly kept: boolean;
 }
 
+const keptKey = (job: string, index: number, no: number): string => `${job}/${index}/${no}`;
+
 export class BudgetTerm implements FeatureTerm {
   readonly books: Books;
   readonly limits: Limits;
@@ -45,6 +50,8 @@
   private found: { w: Micros | null; limits: readonly Item[] } | null = null;
   private since: Micros = 0;
   private early: EarlyEnd[] = [];
+  /** Attempts that were done and are on no record of the books yet, and since when. */
+  private readonly unwritten = new Map<string, Micros>();
   private readonly told = new Map<string, string>();
   /** Jobs on record that ended under an earlier leader: closed once all machines have told. */
   private endedBefore: string[] = [];
@@ -124,7 +131,10 @@
     this.takeLimits(found.limits);
     // What earlier leaders had running is matched by attempt numbers, machine by machine, as they report.
     for (const m of estate.machines.values()) this.see(m, !gap && this.roster.has(m.name));
-    for (const e of this.early) books.end(e.job, e.index, e.no, e.kept ? ALL : { keptUs: 0, rest: 'lost' });
+    for (const e of this.early) {
+      if (e.done) this.keep(e.job, e.index, e.no);
+      books.end(e.job, e.index, e.no, e.kept ? ALL : { keptUs: 0, rest: 'lost' });
+    }
     this.early = [];
     for (const job of estate.jobs.values())
       for (const a of job.live.values()) if (a.runningAt !== null) this.running(a);
@@ -200,6 +210,7 @@
     }
     this.books.at(this.wall);
     const ran = this.books.ranFor(a.job.id, a.index, a.no);
+    if (exit?.cause === 'done') this.keep(a.job.id, a.index, a.no);
     this.books.end(a.job.id, a.index, a.no, outcomeOf(a, exit, ran, this.unseenUs(a)));
   }
 
@@ -221,12 +232,31 @@
     }
     this.books.at(this.wall);
     const kept = exit.cause === 'done' || exit.saved;
+    if (exit.cause === 'done') this.keep(job, exit.index, exit.attempt);
     this.books.end(job, exit.index, exit.attempt, kept ? ALL : { keptUs: 0, rest: 'lost' });
   }
 
+  /**
+   * The core lets a worker forget a result once the job's record has it. The books are written later: when the
+   * leader died in between, nobody knew any more how the attempt had ended, and all that it had ever run became
+   * the platform's. So its worker keeps the word until the books have it too.
+   */
+  private keep(job: string, index: number, no: number): void {
+    if (this.books.ranFor(job, index, no) > 0) this.unwritten.set(keptKey(job, index, no), this.term.ctx.now);
+  }
+
+  keeps(exit: ReportedTask): boolean {
+    const { ctx, office } = this.term;
+    if (this.store.blind !== null) return false;
+    if (!this.entered) return ctx.now - office.since < READING;
+    const since = this.unwritten.get(keptKey(exit.job, exit.index, exit.attempt));
+    return since !== undefined && ctx.now - since < LONGEST_KEPT;
+  }
+
   private noteEarly(job: string, index: number, no: number, exit: ReportedTask | null): void {
     if (this.early.length >= MAX_EARLY) return;
-    this.early.push({ job, index, no, kept: exit?.cause === 'done' || exit?.saved === true });
+    const done = exit?.cause === 'done';
+    this.early.push({ job, index, no, done, kept: done || exit?.saved === true });
   }
 
   gone(m: Machine): void {
@@ -244,13 +274,16 @@
   }
 
   /** Money holds back only what has not begun; while the books can't be read, nothing for long. */
-  holds(job: ActiveJob): string | null {
+  holds(job: ActiveJob): Hold | null {
     if (this.store.blind !== null) return null;
     if (!this.entered)
-      return this.term.ctx.now - this.term.office.since < READING ? 'budgets are being read' : null;
+      return this.term.ctx.now - this.term.office.since < READING
+        ? { reason: 'budgets are being read', passing: true }
+        : null;
     // Without prices nothing can be said about what it costs; nothing can be placed then either.
-    if (this.term.ctx.types.size === 0) return 'prices are not known yet';
-    return this.limits.holds(job);
+    if (this.term.ctx.types.size === 0) return { reason: 'prices are not known yet', passing: true };
+    const reason = this.limits.holds(job);
+    return reason === null ? null : { reason, passing: false };
   }
 
   // ---- the sweep ---------------------------------------------------------------------------------
@@ -288,7 +321,10 @@
     if (entitled && this.store.ready && !books.holding) {
       this.writeClosed();
       books.advance();
-      this.store.flush(this.wall);
+      const settled = [...this.unwritten.keys()];
+      this.store.flush(this.wall, () => {
+        for (const key of settled) this.unwritten.delete(key);
+      });
     }
   }
 
--- a/packages/budgets/src/store.ts
+++ b/packages/budgets/src/store.ts
@@ -9,7 +9,7 @@
 import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { pageRoom } from '@shaleyoke/core/pages';
 import type { Term } from '@shaleyoke/core/term';
-import type { Books } from './books.js';
+import { addCharge, noCharge, OpenJob, type Books } from './books.js';
 import { attemptsOf, Packing, type Packed } from './packing.js';
 import {
   chargeOf,
@@ -37,10 +37,11 @@
 /** Head, a journal page and a closed statement go in one transaction. */
 const LEAST_OPS = 3;
 
-const sumOf = (month: string, a: MonthRow | undefined, b: MonthRow): MonthRow =>
-  a === undefined
-    ? [month, b[1], b[2], b[3], b[4], b[5]]
-    : [month, a[1] + b[1], a[2] + b[2], a[3] + b[3], a[4] + b[4], a[5] + b[5]];
+const sumOf = (month: string, a: MonthRow | undefined, b: MonthRow): MonthRow => {
+  const sum = chargeOf(b);
+  if (a !== undefined) addCharge(sum, chargeOf(a));
+  return monthRow(month, sum);
+};
 
 /** Months that the head names one by one; older ones are summed up. */
 const MONTHS_KEPT = 3;
@@ -251,16 +252,15 @@
     this.extraDone.push(done);
   }
 
-  /** Writes the books as they are now. All must be accounted up to `w`. */
-  flush(w: Micros): void {
-    if (!this.ready) return;
+  /** Writes the books as they are now. All must be accounted up to `w`; `written` once all of it is on record. */
+  flush(w: Micros, written: () => void): void {
     this.busy = true;
     const began = this.term.ctx.now;
     this.flushNo++;
     const extra = this.extra.splice(0, 1);
     const done = this.extraDone.splice(0, 1);
     const journal = this.append(this.term.ctx.settings.txnOps - 1 - extra.length);
-    const open = this.packing.pack(this.books.jobs, this.room);
+    const open = this.packing.pack(this.stillOpen(), this.room);
     const head = this.head(w);
     if (bytesOf(head) > this.term.ctx.settings.valueBytes - 128) {
       this.goBlind(HEAD, () => undefined);
@@ -281,10 +281,34 @@
         this.busy = false;
         const pause = Math.max(LEAST_PAUSE, Math.round((changes / this.changesPerS) * SECOND));
         this.due = began + pause;
+        written();
       });
     });
   }
 
+  /**
+   * What stands on open pages after this flush: jobs that have not ended, and final amounts for which its journal
+   * pages had no room. Those once stood nowhere until the next flush, and a crash took them off their owners.
+   */
+  private stillOpen(): ReadonlyMap<string, OpenJob> {
+    const { books } = this;
+    if (books.finals.length === 0) return books.jobs;
+    const all = new Map(books.jobs);
+    for (const f of books.finals) {
+      const live = all.get(f.id);
+      const job = new OpenJob(f.id, f.owner, f.cls, live?.service ?? false);
+      for (const [month, c] of [...f.months, ...(live?.months ?? [])]) {
+        const sum = job.months.get(month) ?? noCharge();
+        addCharge(sum, c);
+        job.months.set(month, sum);
+      }
+      for (const [index, a] of live?.attempts ?? []) job.attempts.set(index, a);
+      job.commit = live?.commit ?? null;
+      all.set(f.id, job);
+    }
+    return all;
+  }
+
   /** Moves final amounts into the journal, as far as `most` pages of it take them. */
   private append(most: number): JournalPage[] {
     const { finals } = this.books;
--- a/packages/budgets/test/histories.test.ts
+++ b/packages/budgets/test/histories.test.ts
@@ -116,6 +116,53 @@
   assert.ok(us > 4 * (150 * SECOND - REPORT) && us < 4 * (150 * SECOND + REPORT), `${us / SECOND}`);
 });
 
+test('a task that was done just before its leader died is charged, by the word of its worker', () => {
+  for (let k = 0; k < 6; k++) {
+    // Books are written rarely, as they are where many pages change at each flush.
+    const { w } = play(new Random(20 + k), 'changes_per_s: 0.05');
+    w.runFor(3 * SECOND);
+    w.submit(specOf('run-1', { tasks: 4, estimateUs: 120 * SECOND }));
+    const tasks = (): { state: string }[] => [...w.workers.values()].flatMap((x) => x.tasks);
+    for (let s = 0; s < 1200 && !tasks().some((t) => t.state === 'exited'); s++) w.runFor(SECOND / 4);
+    // Between the core's record of the end and that of the books, which is written every few seconds.
+    w.runFor((k + 1) * 4 * SECOND);
+    const leader = w.nodes.findIndex((n) => n.core?.leads() === true);
+    w.crash(leader, 3 * SECOND);
+    w.runFor(60 * SECOND);
+    const v = view(w);
+    assert.deepEqual(verifyBooks(v), []);
+    const us = chargedUs(v, 'run-1');
+    assert.ok(us > 4 * 50 * SECOND, `${k}: ${us / SECOND}`);
+    assert.ok(us < 4 * (120 * SECOND + REPORT), `${k}: ${us / SECOND}`);
+    assert.ok(!tasks().some((t) => t.state === 'exited'), 'in the end its worker may forget it');
+  }
+});
+
+test('what was charged stays on record at every moment, though many jobs end at once', () => {
+  const next = 'value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 60.0';
+  const { w } = play(new Random(31), 'changes_per_s: 2', 30, next);
+  w.limits = { valueBytes: 2_048, ops: 5 };
+  w.runFor(3 * SECOND);
+  // More services than the journal pages of one transaction hold; charged as they run, then all withdrawn.
+  const ids = Array.from({ length: 240 }, (_, k) => `run-${String(k).padStart(6, '0')}`);
+  for (const id of ids)
+    w.submit(specOf(id, { shape: 'service', tasks: 1, cores: 1, estimateUs: 1000 * SECOND }));
+  const before = new Map<string, number>();
+  for (let s = 0; s < 220; s++) {
+    w.runFor(SECOND);
+    if (s === 150) for (const id of ids) w.cancel(id);
+    const v = view(w);
+    const now = new Map<string, number>();
+    for (const l of v.lines) now.set(l.job, (now.get(l.job) ?? 0) + l.charge.us);
+    for (const [id, us] of before) assert.ok((now.get(id) ?? 0) >= us, `second ${s}: ${id} lost ${us}`);
+    for (const [id, us] of now) before.set(id, us);
+  }
+  assert.ok(before.size > 150, `${before.size}`);
+  const v = view(w);
+  assert.deepEqual(verifyBooks(v), []);
+  assert.deepEqual(v.open, []);
+});
+
 test('lost work is the platform account: a job whose machines die is billed for one run', () => {
   const { w } = play(new Random(9));
   w.runFor(3 * SECOND);
--- a/packages/core/src/cluster.ts
+++ b/packages/core/src/cluster.ts
@@ -44,6 +44,12 @@
 export const dueOf = ({ last, tail }: Chain, times = 1): Micros =>
   last.at + (last.spec.deadlineUs ?? 0) * times - tail;
 
+/** Why a job may not begin now; `passing` where that is over in a moment, and nobody need be told. */
+export interface Hold {
+  readonly reason: string;
+  readonly passing: boolean;
+}
+
 /** The leader's picture of a job. Compact: one bit a task, records only for live ones. */
 export class ActiveJob {
   readonly done: Bits;
@@ -75,7 +81,7 @@
   /** Waits for other jobs: nothing of it may be started, and it counts towards nothing. */
   held = false;
   /** Why a feature holds it back; only before any task of it has begun. Counts as `held` does. */
-  barred: string | null = null;
+  barred: Hold | null = null;
   /** A job that it needs is cancelled: it can never run. */
   doomed = false;
   /** Time of day at which the last job that it needs was done; null for a job that needs none. */
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -3,7 +3,7 @@
  * on, and each is told what happens in a leader's term. Nothing here may keep a rule from being kept: a feature
  * can hold back a job that has not begun, and that is all.
  */
-import type { ActiveJob, Attempt, Machine } from './cluster.js';
+import type { ActiveJob, Attempt, Hold, Machine } from './cluster.js';
 import type { ReportedTask } from './model.js';
 import type { Term } from './term.js';
 
@@ -19,12 +19,14 @@
   ended(a: Attempt, exit: ReportedTask | null): void;
   /** A machine reports the end of an attempt that this leader never knew to run. */
   exited(job: string, exit: ReportedTask): void;
+  /** Whether a worker is to keep for now that this attempt was done, though the core has put it on record. */
+  keeps(exit: ReportedTask): boolean;
   /** The machine and everything on it are gone; its attempts ended before. */
   gone(m: Machine): void;
   /** No task of the job is anywhere any more, and its record says how it ended. */
   closed(job: ActiveJob): void;
   /** Why a job that has not begun may not begin now; null if it may. */
-  holds(job: ActiveJob): string | null;
+  holds(job: ActiveJob): Hold | null;
   /** The office is lost; nothing more is told. */
   stop(): void;
 }
@@ -61,13 +63,23 @@
   }
 
   /** The first reason why a job may not begin now. Who fails to answer holds nothing back. */
-  holds(job: ActiveJob): string | null {
-    let reason: string | null = null;
+  holds(job: ActiveJob): Hold | null {
+    let hold: Hold | null = null;
     for (const f of this.on)
       this.term.ctx.guard(f.name, () => {
-        reason ??= f.term.holds(job);
+        hold ??= f.term.holds(job);
       });
-    return reason;
+    return hold;
+  }
+
+  /** Whether any of them has yet to put on record that an attempt was done. */
+  keeps(exit: ReportedTask): boolean {
+    let keep = false;
+    for (const f of this.on)
+      this.term.ctx.guard(f.name, () => {
+        keep ||= f.term.keeps(exit);
+      });
+    return keep;
   }
 
   get none(): boolean {
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -16,6 +16,8 @@
   running(a: Attempt): void;
   /** The end of an attempt that this leader did not know. */
   exited(job: string, exit: ReportedTask): void;
+  /** Whether its worker is to keep the end of a done attempt, though it is on record. */
+  keeps(exit: ReportedTask): boolean;
 }
 
 export class Reports {
@@ -211,7 +213,8 @@
           t.cause === 'done' &&
           job !== undefined &&
           (job.phase === 'finishing' || (job.phase === 'active' && !job.durable.has(t.index)));
-        if (!held) orders.push({ op: 'forget', ...id });
+        // Only what was done: its task never starts again, so nobody is refused for what is kept there.
+        if (!held && !(t.cause === 'done' && this.host.keeps(t))) orders.push({ op: 'forget', ...id });
         continue;
       }
       const a = m.attempts.get(attemptKey(t.job, t.index));
--- a/packages/core/src/scheduler.ts
+++ b/packages/core/src/scheduler.ts
@@ -185,6 +185,7 @@
           f.exited(job, exit);
         });
       },
+      keeps: (exit) => !this.features.none && this.features.keeps(exit),
     });
     this.cascade = new Cascade(ctx, {
       leadVersion: office.version,
@@ -353,15 +354,19 @@
   private holdOne(job: ActiveJob): void {
     if (this.features.none || job.phase !== 'active') return;
     // What has begun goes on to its end; what waits for other jobs is asked for once it need not.
-    const reason = job.begun || job.held ? null : this.features.holds(job);
-    if (reason === job.barred) return;
-    if (reason !== null && job.barred === null) this.ctx.info('job.barred', { job: job.id, reason });
-    if (reason === null) {
-      this.ctx.info('job.let_go', { job: job.id, after: job.barred });
+    const hold = job.begun || job.held ? null : this.features.holds(job);
+    const before = job.barred;
+    if (hold === null ? before === null : hold.reason === before?.reason) return;
+    // What passes with a change of leader was once told for every job that had not begun, each time.
+    const known = before !== null && !before.passing;
+    if (hold !== null && !hold.passing && !known)
+      this.ctx.info('job.barred', { job: job.id, reason: hold.reason });
+    if (hold === null) {
+      if (known) this.ctx.info('job.let_go', { job: job.id, after: before.reason });
       // What came long ago is no arrival of now.
       if (this.ctx.wallNow - job.at < FRESH) this.fleet.noteArrival(job.spec);
     }
-    job.barred = reason;
+    job.barred = hold;
     this.planner.soon();
   }
 
