Budgets: owners that have no room in the head stand on pages of their own

Need: all owners' sums stood in the head, so that a platform of more than about twelve owners, at values of 2 KiB, had its books stopped.

Result: 40 owners at 2 KiB and five changes a transaction, leaders killed, across the end of a month: books agree at every second, all 40 statements closed.

Ruled out: moving owners as their amounts grow (a move needs an order between two pages and room for both).

--- a/packages/budgets/src/feature.ts
+++ b/packages/budgets/src/feature.ts
@@ -417,7 +417,7 @@
         carried,
         last: this.store.lastJournalPage,
       };
-      this.store.with({ kind: 'put', key, value: record }, () => {
+      this.store.with(owner, { kind: 'put', key, value: record }, () => {
         this.closing.shift();
       });
     });
--- a/packages/budgets/src/fetch.ts
+++ b/packages/budgets/src/fetch.ts
@@ -1,7 +1,7 @@
 /** Reads the books for tools: as much as is asked for, in an order in which nothing that moves is missed. */
 import type { Item } from '@shaleyoke/core/model';
 import { viewBooks, type BooksView } from './reader.js';
-import { CLOSED, HEAD, JOURNAL, journalKey, LIMITS, OPEN, readClosed } from './records.js';
+import { CLOSED, HEAD, JOURNAL, journalKey, LIMITS, OPEN, OWNERS, readClosed } from './records.js';
 
 /** The state service, as tools need it. Each throws if it does not answer. */
 export interface Service {
@@ -23,10 +23,11 @@
   until?: string,
 ): Promise<Item[]> => {
   const head = await service.get(HEAD);
+  const owners = await service.list(OWNERS);
   const open = await service.list(OPEN);
   const journal = await service.list(JOURNAL, after, until);
   const limits = await service.list(LIMITS);
-  return [...open, ...journal, ...limits, ...closed, ...(head === null ? [] : [head])];
+  return [...owners, ...open, ...journal, ...limits, ...closed, ...(head === null ? [] : [head])];
 };
 
 /** All books on record. */
--- a/packages/budgets/src/reader.ts
+++ b/packages/budgets/src/reader.ts
@@ -12,11 +12,13 @@
   journalKey,
   LIMITS,
   OPEN,
+  OWNERS,
   readClosed,
   readHead,
   readJournal,
   readLimit,
   readOpen,
+  readOwners,
   type ClosedRecord,
   type Head,
   type LimitRecord,
@@ -52,6 +54,24 @@
   readonly problems: readonly string[];
 }
 
+/** The head with the owners that stand on pages of their own. */
+const withOwners = (head: Head, items: readonly Item[], problems: string[]): Head => {
+  let all = head;
+  for (const it of items.filter((x) => x.key.startsWith(OWNERS))) {
+    const page = readOwners(it.value);
+    if (page === null) problems.push(`${it.key}: can't be read`);
+    else
+      all = {
+        ...all,
+        m: { ...page.m, ...all.m },
+        z: { ...page.z, ...all.z },
+        c: { ...page.c, ...all.c },
+        t: { ...page.t, ...all.t },
+      };
+  }
+  return all;
+};
+
 /**
  * `items`: what stands under `b/`, in any order; `first`: the page at which what was read of the journal begins.
  */
@@ -62,8 +82,9 @@
   const limits = new Map<string, LimitRecord>();
   const closed: ClosedRecord[] = [];
   const headItem = items.find((it) => it.key === HEAD);
-  const head = headItem === undefined ? null : readHead(headItem.value);
-  if (headItem !== undefined && head === null) problems.push(`${HEAD}: can't be read`);
+  const main = headItem === undefined ? null : readHead(headItem.value);
+  if (headItem !== undefined && main === null) problems.push(`${HEAD}: can't be read`);
+  const head = main === null ? null : withOwners(main, items, problems);
   const inJournal = new Map<string, Set<string>>();
   const over = new Set<string>();
   let before: string | null = null;
--- a/packages/budgets/src/records.ts
+++ b/packages/budgets/src/records.ts
@@ -6,10 +6,12 @@
 
 export const HEAD = 'b/head';
 export const OPEN = 'b/o/';
+export const OWNERS = 'b/a/';
 export const JOURNAL = 'b/j/';
 export const LIMITS = 'b/l/';
 export const CLOSED = 'b/s/';
 export const openKey = (n: number): string => `${OPEN}${n}`;
+export const ownersKey = (n: number): string => `${OWNERS}${n}`;
 export const journalKey = (n: number): string => `${JOURNAL}${String(n).padStart(9, '0')}`;
 export const limitKey = (owner: string): string => `${LIMITS}${owner}`;
 export const closedKey = (owner: string, month: string): string => `${CLOSED}${owner}/${month}`;
@@ -21,14 +23,8 @@
 const MonthRow = Schema.Tuple(Schema.String, Natural, Natural, Natural, Natural, Natural);
 export type MonthRow = typeof MonthRow.Type;
 
-const Head = Schema.Struct({
-  v: Schema.Literal(1),
-  /** Number of the flush that wrote it. */
-  f: Natural,
-  /** All is accounted up to this moment, microseconds of time of day. */
-  w: Natural,
-  cost: Natural,
-  p: Schema.Struct({ boot: Int, unused: Int, lost: Int, stopped: Int, unseen: Int, takeover: Int }),
+/** Accounts of some owners. */
+const Owners = {
   /** By owner: months of jobs in the journal; under no name all that are older. */
   m: Schema.Record({ key: Schema.String, value: Schema.Array(MonthRow) }),
   /** By owner: the last month whose statement is closed. */
@@ -37,6 +33,29 @@
   c: Schema.Record({ key: Schema.String, value: Schema.Tuple(Schema.String, Natural) }),
   /** By owner: the month in which the soft limit was told. */
   t: Schema.Record({ key: Schema.String, value: Schema.String }),
+};
+const OwnersPart = Schema.Struct(Owners);
+export type OwnersPart = {
+  -readonly [K in keyof typeof OwnersPart.Type]: Record<string, (typeof OwnersPart.Type)[K][string]>;
+};
+
+/** Owners that have no room in the head; written in one transaction with it. */
+const OwnersPage = Schema.Struct({
+  v: Schema.Literal(1),
+  /** Number of the flush that wrote it. */
+  f: Natural,
+  ...Owners,
+});
+
+const Head = Schema.Struct({
+  v: Schema.Literal(1),
+  /** Number of the flush that wrote it. */
+  f: Natural,
+  /** All is accounted up to this moment, microseconds of time of day. */
+  w: Natural,
+  cost: Natural,
+  p: Schema.Struct({ boot: Int, unused: Int, lost: Int, stopped: Int, unseen: Int, takeover: Int }),
+  ...Owners,
   /** Journal: the page at which this flush began, the last page, the digest of the page before that. */
   j: Schema.Struct({ from: Natural, last: Natural, prev: Schema.String }),
 });
@@ -120,6 +139,7 @@
     return Either.isRight(r) ? r.right : null;
   };
 export const readHead = reader(Head);
+export const readOwners = reader(OwnersPage);
 export const readOpen = reader(OpenPage);
 export const readJournal = reader(JournalPage);
 export const readLimit = reader(LimitRecord);
--- a/packages/budgets/src/store.ts
+++ b/packages/budgets/src/store.ts
@@ -9,6 +9,7 @@
 import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { pageRoom } from '@shaleyoke/core/pages';
 import type { Term } from '@shaleyoke/core/term';
+import { Accounts, type Marks } from './accounts.js';
 import { addCharge, noCharge, OpenJob, type Books } from './books.js';
 import { attemptsOf, Packing, type Packed } from './packing.js';
 import {
@@ -21,38 +22,28 @@
   monthRow,
   OPEN,
   openKey,
+  OWNERS,
+  ownersKey,
   readHead,
   readJournal,
   readOpen,
+  readOwners,
   type Head,
   type JournalPage,
   type JournalRow,
   type MonthRow,
+  type OwnersPart,
 } from './records.js';
 
 const PAGE = 500;
 const RETRY: Micros = 500 * MILLI;
 const LEAST_PAUSE: Micros = 2 * SECOND;
 const MAX_BYTES = 40 * 1024;
-/** Head, a journal page and a closed statement go in one transaction. */
-const LEAST_OPS = 3;
+/** Head, owners' page, journal page and a closed statement go in one transaction. */
+const LEAST_OPS = 4;
 
-const sumOf = (month: string, a: MonthRow | undefined, b: MonthRow): MonthRow => {
-  const sum = chargeOf(b);
-  if (a !== undefined) addCharge(sum, chargeOf(a));
-  return monthRow(month, sum);
-};
-
-/** Months that the head names one by one; older ones are summed up. */
-const MONTHS_KEPT = 3;
-
-/** What stands beside the accounts in the head. */
-export interface Marks {
-  /** By owner: the month in which the soft limit was told. */
-  readonly told: Map<string, string>;
-  /** By owner: a closed month's successor, and the overrun that comes off it. */
-  readonly carried: Map<string, readonly [string, number]>;
-}
+/** Bytes of a head without owners, at most. */
+const HEAD_REST = 512;
 
 export interface Found {
   /** Everything up to this moment is accounted; null where no books were ever kept. */
@@ -63,8 +54,7 @@
 export class Store {
   private readonly versions = new Map<string, number>();
   private readonly packing = new Packing();
-  /** By owner and month: jobs in the journal. */
-  private readonly journaled = new Map<string, Map<string, MonthRow>>();
+  private readonly accounts: Accounts;
   private tail: JournalPage = { v: 1, n: 0, prev: '', rows: [] };
   private flushNo = 0;
   /** The journal page at which the first flush began that is not known to be complete. */
@@ -75,16 +65,17 @@
   /** Records that can't be read: nothing is written over them. */
   blind: string | null = null;
   /** Further puts that are to go with the next head: closed statements. */
-  private extra: Write[] = [];
-  private extraDone: (() => void)[] = [];
+  private readonly extra: { owner: string; write: Write; done: () => void }[] = [];
 
   constructor(
     private readonly term: Term,
     private readonly books: Books,
-    private readonly marks: Marks,
+    marks: Marks,
     private readonly changesPerS: number,
   ) {
-    this.room = pageRoom(term.ctx.settings.valueBytes);
+    const { valueBytes } = term.ctx.settings;
+    this.room = pageRoom(valueBytes);
+    this.accounts = new Accounts(books, marks, valueBytes, HEAD_REST);
   }
 
   // ---- reading -----------------------------------------------------------------------------------
@@ -107,8 +98,11 @@
         const after = head === null || head.j.from === 0 ? '' : journalKey(head.j.from - 1);
         this.list(JOURNAL, after, (journal) => {
           this.list(LIMITS, '', (limits) => {
-            if (head === null) then({ w: null, limits });
-            else this.restore(head, open, journal, limits, then);
+            this.list(OWNERS, '', (owners) => {
+              if (head === null) then({ w: null, limits });
+              else if (this.restoreOwners(head, owners, then))
+                this.restore(head, open, journal, limits, then);
+            });
           });
         });
       });
@@ -121,6 +115,21 @@
     then({ w: null, limits: [] });
   }
 
+  private restoreOwners(head: Head, owners: readonly Item[], then: (found: Found) => void): boolean {
+    this.accounts.adopt(0, head.f, { m: head.m, z: head.z, c: head.c, t: head.t });
+    for (const it of owners) {
+      const page = readOwners(it.value);
+      if (page === null) {
+        this.goBlind(it.key, then);
+        return false;
+      }
+      this.versions.set(it.key, it.version);
+      const { m, z, c, t } = page;
+      this.accounts.adopt(Number(it.key.slice(OWNERS.length)), page.f, { m, z, c, t });
+    }
+    return true;
+  }
+
   private restore(
     head: Head,
     open: readonly Item[],
@@ -155,14 +164,7 @@
       this.goBlind(unreadable.it.key, then);
       return;
     }
-    for (const [owner, rows] of Object.entries(head.m))
-      for (const row of rows) {
-        books.restore(owner, row[0], chargeOf(row), null);
-        this.monthsOf(owner).set(row[0], row);
-      }
-    for (const [owner, month] of Object.entries(head.z)) books.closed.set(owner, month);
-    for (const [owner, month] of Object.entries(head.t)) this.marks.told.set(owner, month);
-    for (const [owner, c] of Object.entries(head.c)) this.marks.carried.set(owner, c);
+    for (const [owner, row] of this.accounts.sums()) books.restore(owner, row[0], chargeOf(row), null);
     for (const { it, page } of pages) {
       const n = Number(it.key.slice(OPEN.length));
       this.versions.set(it.key, it.version);
@@ -221,15 +223,9 @@
 
   // ---- writing -----------------------------------------------------------------------------------
 
-  private monthsOf(owner: string): Map<string, MonthRow> {
-    const months = this.journaled.get(owner) ?? new Map<string, MonthRow>();
-    this.journaled.set(owner, months);
-    return months;
-  }
-
   /** What the journal holds for an owner's month. */
   inJournal(owner: string, month: string): MonthRow {
-    return this.monthsOf(owner).get(month) ?? [month, 0, 0, 0, 0, 0];
+    return this.accounts.inJournal(owner, month);
   }
 
   /** A record as it is now. */
@@ -246,10 +242,9 @@
     return this.blind === null && !this.busy && this.term.ctx.now >= this.due;
   }
 
-  /** Puts a record with the next head, in the same transaction; `done` once that is surely written. */
-  with(write: Write, done: () => void): void {
-    this.extra.push(write);
-    this.extraDone.push(done);
+  /** Puts a record of an owner with the next head, in the same transaction; `done` once that is surely written. */
+  with(owner: string, write: Write, done: () => void): void {
+    this.extra.push({ owner, write, done });
   }
 
   /** Writes the books as they are now. All must be accounted up to `w`; `written` once all of it is on record. */
@@ -257,11 +252,16 @@
     this.busy = true;
     const began = this.term.ctx.now;
     this.flushNo++;
-    const extra = this.extra.splice(0, 1);
-    const done = this.extraDone.splice(0, 1);
-    const journal = this.append(this.term.ctx.settings.txnOps - 1 - extra.length);
+    const extra = this.extra.shift();
+    // Pages of owners that this transaction has to hold: a closed statement never stands without its mark.
+    const touched = new Set<number>();
+    if (extra !== undefined) this.touch(touched, extra.owner);
+    const ops = this.term.ctx.settings.txnOps - 1 - (extra === undefined ? 0 : 1);
+    const journal = this.append(ops, touched);
     const open = this.packing.pack(this.stillOpen(), this.room);
-    const head = this.head(w);
+    const parts = this.accounts.parts();
+    const owners = this.ownersToWrite(parts, touched, ops - journal.length);
+    const head = this.head(w, parts.get(0)!);
     if (bytesOf(head) > this.term.ctx.settings.valueBytes - 128) {
       this.goBlind(HEAD, () => undefined);
       this.term.ctx.error('budgets.too_many_owners', { bytes: bytesOf(head) });
@@ -270,11 +270,15 @@
     const first: Write[] = [
       { kind: 'put', key: HEAD, value: head },
       ...journal.map((p): Write => ({ kind: 'put', key: journalKey(p.n), value: p })),
-      ...extra,
+      ...owners.map(([n, part]): Write => {
+        return { kind: 'put', key: ownersKey(n), value: { v: 1, f: this.flushNo, ...part } };
+      }),
+      ...(extra === undefined ? [] : [extra.write]),
     ];
     const changes = first.length + open.length;
     this.send(first, 'head', () => {
-      for (const d of done) d();
+      for (const [n, part] of owners) this.accounts.confirm(n, part);
+      extra?.done();
       this.sendOpen(open, () => {
         // Complete: whatever the journal holds stands on no open page any more.
         this.from = this.tail.n;
@@ -309,8 +313,28 @@
     return all;
   }
 
-  /** Moves final amounts into the journal, as far as `most` pages of it take them. */
-  private append(most: number): JournalPage[] {
+  private touch(touched: Set<number>, owner: string): void {
+    const n = this.accounts.homeOf(owner);
+    if (n > 0) touched.add(n);
+  }
+
+  /** Pages of owners that go with this head: those that must, and others as far as there is room. */
+  private ownersToWrite(
+    parts: ReadonlyMap<number, OwnersPart>,
+    touched: ReadonlySet<number>,
+    room: number,
+  ): [number, OwnersPart][] {
+    const changed = this.accounts.changed(parts);
+    const must = changed.filter((n) => touched.has(n));
+    const may = changed.filter((n) => !touched.has(n)).slice(0, Math.max(0, room - must.length));
+    return [...must, ...may].map((n) => [n, parts.get(n)!]);
+  }
+
+  /**
+   * Moves final amounts into the journal, as far as `ops` pages take them: the journal's, and those of the owners
+   * whose sums they change, which are `touched` then.
+   */
+  private append(ops: number, touched: Set<number>): JournalPage[] {
     const { finals } = this.books;
     const pages: JournalPage[] = [];
     let rows: JournalRow[] = [...this.tail.rows];
@@ -333,9 +357,13 @@
         job.over ? 1 : 0,
       ];
       const more = bytesOf(row) + 1;
+      const home = this.accounts.homeOf(job.owner);
+      // One page of the journal at least is under way once there is a row.
+      const news = home > 0 && !touched.has(home) ? 1 : 0;
+      if (pages.length + 1 + touched.size + news > ops) break;
       if (size + more > this.room && rows.length > 0) {
         if (changed) seal();
-        if (pages.length >= most || bytes + this.room > MAX_BYTES) break;
+        if (pages.length + 1 + touched.size + news > ops || bytes + this.room > MAX_BYTES) break;
         this.tail = { v: 1, n: this.tail.n + 1, prev: digestOf(this.tail), rows: [] };
         rows = [];
         size = bytesOf(this.tail);
@@ -344,27 +372,14 @@
       rows.push(row);
       size += more;
       changed = true;
-      const months = this.monthsOf(job.owner);
-      for (const m of row[3]) months.set(m[0], sumOf(m[0], months.get(m[0]), m));
+      this.touch(touched, job.owner);
+      this.accounts.post(job.owner, row[3]);
     }
     if (changed) seal();
     return pages;
   }
 
-  /** An owner's months, the older closed ones as one. */
-  private summed(owner: string): MonthRow[] {
-    const months = this.monthsOf(owner);
-    const last = this.books.closed.get(owner) ?? '';
-    const named = [...months.keys()].filter((m) => m !== '').sort();
-    for (const m of named.slice(0, Math.max(0, named.length - MONTHS_KEPT))) {
-      if (m > last) break;
-      months.set('', sumOf('', months.get(''), months.get(m)!));
-      months.delete(m);
-    }
-    return [...months.values()];
-  }
-
-  private head(w: Micros): Head {
+  private head(w: Micros, owners: OwnersPart): Head {
     const { books } = this;
     return {
       v: 1,
@@ -372,10 +387,7 @@
       w,
       cost: books.cost,
       p: { ...books.platform },
-      m: Object.fromEntries([...this.journaled.keys()].map((o) => [o, this.summed(o)])),
-      z: Object.fromEntries(books.closed),
-      c: Object.fromEntries(this.marks.carried),
-      t: Object.fromEntries(this.marks.told),
+      ...owners,
       j: { from: this.from, last: this.tail.n, prev: this.tail.prev },
     };
   }
--- a/packages/budgets/test/histories.test.ts
+++ b/packages/budgets/test/histories.test.ts
@@ -6,7 +6,7 @@
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf, TYPE } from '@shaleyoke/emulator/world';
-import { chargedMoney, chargedUs, play, REPORT, view } from './played.js';
+import { chargedMoney, chargedUs, play, REPORT, teams, view } from './played.js';
 
 test('a quiet day is charged as it ran, and the records say so by themselves', () => {
   const { w } = play(new Random(1));
@@ -138,6 +138,48 @@
   }
 });
 
+test('more owners than a record holds are kept on pages, through crashes, lower limits and the end of a month', () => {
+  const names = Array.from({ length: 40 }, (_, k) => `agency-${String(k).padStart(2, '0')}`);
+  const next = 'value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 60.0';
+  // Four minutes before December begins in Warsaw.
+  const { w } = play(
+    new Random(41),
+    'changes_per_s: 3',
+    30,
+    next,
+    Date.UTC(2026, 10, 30, 22, 56, 0) * 1000,
+    teams(names),
+  );
+  w.limits = { valueBytes: 2_048, ops: 5 };
+  w.runFor(3 * SECOND);
+  names.forEach((team, k) => {
+    w.submit(specOf(`run-${1000 + k}`, { team, tasks: 2, estimateUs: 40 * SECOND }));
+  });
+  const before = new Map<string, number>();
+  for (let s = 0; s < 480; s++) {
+    w.runFor(SECOND);
+    if (s < 320 && s % 70 === 45) w.crash(w.nodes.findIndex((n) => n.core?.leads() === true) % 3, 3 * SECOND);
+    if (s === 250)
+      names.forEach((team, k) => {
+        w.submit(specOf(`run-${2000 + k}`, { team, tasks: 1, estimateUs: 20 * SECOND }));
+      });
+    const v = view(w);
+    assert.deepEqual(v.problems, [], `second ${s}`);
+    for (const [owner, rows] of Object.entries(v.head?.m ?? {})) {
+      const sum = rows.reduce((n, row) => n + row[1], 0);
+      assert.ok(sum >= (before.get(owner) ?? 0), `second ${s}: ${owner}`);
+      before.set(owner, sum);
+    }
+  }
+  const v = view(w);
+  assert.deepEqual(verifyBooks(v), []);
+  assert.equal(w.refusals, 0);
+  assert.ok(w.keys('b/a/').length >= 8, `${w.keys('b/a/').length} pages`);
+  const closed = v.closed.filter((c) => c.month === '2026-11' && c.row[1] > 0);
+  assert.equal(closed.length, 40);
+  assert.equal(Object.keys(v.head!.z).length, 40);
+});
+
 test('what was charged stays on record at every moment, though many jobs end at once', () => {
   const next = 'value_kb = 2.0\ntxn_ops = 5\nwrite_rps = 60.0';
   const { w } = play(new Random(31), 'changes_per_s: 2', 30, next);
--- a/packages/budgets/test/played.ts
+++ b/packages/budgets/test/played.ts
@@ -6,10 +6,11 @@
 import type { Random } from '@shaleyoke/emulator/random';
 import { World } from '@shaleyoke/emulator/world';
 
-export const TEAMS: Team[] = ['t', 'u'].map((name) => ({ name, cores: 0, coresMax: 0, gpus: 0, gpusMax: 0 }));
-const TOML = TEAMS.map((t) => `[[cluster.teams]]\nname = "${t.name}"\n`).join('');
-export const settings = (limits = ''): ReturnType<typeof parseBudgets> =>
-  parseBudgets(`version: 1\ncurrency: EUR\nzone: Europe/Warsaw\n${limits}`, TEAMS, 'budgets');
+export const teams = (names: readonly string[]): Team[] =>
+  names.map((name) => ({ name, cores: 0, coresMax: 0, gpus: 0, gpusMax: 0 }));
+export const TEAMS: Team[] = teams(['t', 'u']);
+export const settings = (limits = '', of = TEAMS): ReturnType<typeof parseBudgets> =>
+  parseBudgets(`version: 1\ncurrency: EUR\nzone: Europe/Warsaw\n${limits}`, of, 'budgets');
 
 export interface Played {
   readonly w: World;
@@ -23,17 +24,18 @@
   perZone = 4,
   next = '',
   wallStart = Date.UTC(2026, 11, 1, 12) * 1000,
+  of = TEAMS,
 ): Played => {
   const all: Budgets[] = [];
   const w = new World(
     r,
     3,
-    TOML,
+    of.map((t) => `[[cluster.teams]]\nname = "${t.name}"\n`).join(''),
     1e9,
     perZone,
     next,
     () => {
-      const b = new Budgets(settings(limits));
+      const b = new Budgets(settings(limits, of));
       all.push(b);
       return [b];
     },
