--- a/packages/budgets/src/records.ts
+++ b/packages/budgets/src/records.ts
@@ -34,11 +34,6 @@
   /** By owner: the month in which the soft limit was told. */
   t: Schema.Record({ key: Schema.String, value: Schema.String }),
 };
-const OwnersPart = Schema.Struct(Owners);
-export type OwnersPart = {
-  -readonly [K in keyof typeof OwnersPart.Type]: Record<string, (typeof OwnersPart.Type)[K][string]>;
-};
-
 /** Owners that have no room in the head; written in one transaction with it. */
 const OwnersPage = Schema.Struct({
   v: Schema.Literal(1),
@@ -60,6 +55,7 @@
   j: Schema.Struct({ from: Natural, last: Natural, prev: Schema.String }),
 });
 export type Head = typeof Head.Type;
+export type OwnersPart = { -readonly [K in keyof typeof Owners]: Record<string, Head[K][string]> };
 
 /** Owner, class, whether a service, commitment, months, runs of attempts. */
 const OpenRow = Schema.Tuple(
