Kube: the declared subset of Jobs and Deployments, and kube check

Before a server takes manifests, people must know what is understood and why the rest is refused.

Change: packages/kube with one closed schema as the declaration (Effect's schemas), exact quantities, the mapping onto the core's terms, refusals by field with what to do, kube check (offline, with line numbers) and kube fields; the table in docs/operating-kube.md is made from the schema, a test holds the two together.

No server yet.

Ruled out: the published OpenAPI documents (other projects' source, and mostly fields that are refused); rounding numbers up to the next (a native submission of the same text has the nearest, and the same work must find the same place).

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -17,6 +17,7 @@
     only('settings', 'core'),
     only('runtime', 'core', 'protocol'),
     only('budgets', 'core'),
+    only('kube', 'core'),
     only('emulator', 'core', 'protocol', 'settings'),
     only('demo', 'core', 'budgets', 'emulator'),
     {
--- a/deploy/build.js
+++ b/deploy/build.js
@@ -7,7 +7,11 @@
 mkdirSync('target', { recursive: true });
 
 /** What is loaded only when it is switched on stands in a bundle of its own. */
-const PLUGINS = { budgets: '@shaleyoke/budgets/plugin', demo: '@shaleyoke/demo/demo' };
+const PLUGINS = {
+  budgets: '@shaleyoke/budgets/plugin',
+  demo: '@shaleyoke/demo/demo',
+  kube: '@shaleyoke/kube/plugin',
+};
 const apart = {
   name: 'plugins-apart',
   setup: ({ onResolve }) => {
--- /dev/null
+++ b/packages/kube/test/mapping.test.ts
@@ -0,0 +1,357 @@
+/** Manifests: all of what is accepted is represented, and all of what is outside the subset is refused by name. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { Either } from 'effect';
+import fc from 'fast-check';
+import { checkText } from '@shaleyoke/kube/check';
+import { mapManifest, type Mapped, type Work } from '@shaleyoke/kube/mapping';
+import { fieldOf, type Problem } from '@shaleyoke/kube/problems';
+import { REFUSALS } from '@shaleyoke/kube/refusals';
+import { markdownOf } from '@shaleyoke/kube/table';
+
+type Tree = Record<string, unknown>;
+
+const root = new URL('../../../', import.meta.url);
+const file = (name: string): string => readFileSync(new URL(name, root), 'utf8');
+
+const accepted = (value: unknown): Mapped => {
+  const m = mapManifest(value);
+  if (Either.isLeft(m)) assert.fail(m.left.map((p) => `${fieldOf(p.path)}: ${p.message}`).join('\n'));
+  return m.right;
+};
+const refused = (value: unknown): readonly Problem[] => {
+  const m = mapManifest(value);
+  assert.ok(Either.isLeft(m), 'accepted');
+  return m.left;
+};
+
+// ---- generated manifests ---------------------------------------------------------------------------------
+
+const priorities = ['best-effort', 'normal', 'urgent', 'critical'] as const;
+const label = fc.stringMatching(/^[a-z][a-z0-9-]{0,8}[a-z0-9]$/);
+const micros = fc.integer({ min: 1, max: 5_000_000_000 });
+
+/** Work, and a manifest that says it. */
+const generated = fc
+  .record({
+    name: label,
+    class: label,
+    gang: fc.boolean(),
+    priority: fc.constantFrom(0, 1, 2, 3),
+    tasks: fc.integer({ min: 1, max: 100_000 }),
+    millicores: fc.integer({ min: 1, max: 500_000 }),
+    gpus: fc.integer({ min: 0, max: 16 }),
+    megabytes: fc.integer({ min: 1, max: 4_000_000 }),
+    image: label,
+    imageMb: fc.integer({ min: 0, max: 90_000 }),
+    types: fc.option(fc.uniqueArray(label, { minLength: 1, maxLength: 3 }), { nil: null }),
+    zone: fc.option(label, { nil: null }),
+    place: fc.constantFrom('any', 'same', 'spread'),
+    spot: fc.boolean(),
+    estimateUs: micros,
+    checkpointUs: fc.option(micros, { nil: 0 }),
+    saveUs: micros,
+    deadlineUs: fc.option(micros, { nil: null }),
+    awaits: fc.uniqueArray(fc.stringMatching(/^w[0-9]{1,4}$/), { maxLength: 4 }),
+    viaLimits: fc.boolean(),
+    suspend: fc.boolean(),
+  })
+  .map((g) => {
+    const seconds = (us: number): string => `${Math.floor(us / 1e6)}.${String(us % 1e6).padStart(6, '0')}`;
+    const amounts = {
+      cpu: `${g.millicores}m`,
+      memory: `${g.megabytes}M`,
+      ...(g.gpus > 0 ? { 'nvidia.com/gpu': g.gpus } : {}),
+    };
+    const work: Work = {
+      class: g.class,
+      shape: g.gang ? 'gang' : 'array',
+      priority: g.priority as Work['priority'],
+      tasks: g.tasks,
+      cores: g.millicores / 1000,
+      gpus: g.gpus,
+      memoryGb: g.megabytes / 1000,
+      image: g.image,
+      imageGb: g.imageMb / 1000,
+      types: g.types,
+      zone: g.zone,
+      sameZone: g.place === 'same',
+      spread: g.place === 'spread',
+      spot: g.spot,
+      estimateUs: g.estimateUs,
+      checkpointUs: g.checkpointUs,
+      saveUs: g.checkpointUs > 0 ? g.saveUs : 0,
+      deadlineUs: g.deadlineUs,
+    };
+    const one = g.types?.length === 1 ? g.types[0]! : null;
+    const selector = {
+      ...(g.zone === null ? {} : { 'topology.kubernetes.io/zone': g.zone }),
+      ...(one === null ? {} : { 'node.kubernetes.io/instance-type': one }),
+    };
+    const manifest = {
+      apiVersion: 'batch/v1',
+      kind: 'Job',
+      metadata: {
+        name: g.name,
+        annotations: {
+          'shaleyoke/class': g.class,
+          'shaleyoke/gang': String(g.gang),
+          ...(g.place === 'same' ? { 'shaleyoke/same-zone': 'true' } : {}),
+          ...(g.place === 'spread' ? { 'shaleyoke/spread': 'true' } : {}),
+          'shaleyoke/estimate': seconds(g.estimateUs),
+          ...(g.checkpointUs > 0
+            ? {
+                'shaleyoke/checkpoint-interval': seconds(g.checkpointUs),
+                'shaleyoke/save-time': seconds(g.saveUs),
+              }
+            : {}),
+          'shaleyoke/image-size': `${g.imageMb}M`,
+          ...(g.deadlineUs === null ? {} : { 'shaleyoke/due': seconds(g.deadlineUs) }),
+          ...(g.awaits.length === 0 ? {} : { 'shaleyoke/awaits': g.awaits.join(', ') }),
+          ...(g.types !== null && one === null ? { 'shaleyoke/instance-types': g.types.join(',') } : {}),
+          'example.org/kept': 'as it is',
+        },
+      },
+      spec: {
+        completions: g.tasks,
+        parallelism: g.tasks,
+        suspend: g.suspend,
+        template: {
+          spec: {
+            restartPolicy: 'Never',
+            priorityClassName: priorities[g.priority],
+            ...(Object.keys(selector).length > 0 ? { nodeSelector: selector } : {}),
+            ...(g.spot ? { tolerations: [{ key: 'shaleyoke/spot', operator: 'Exists' }] } : {}),
+            containers: [
+              {
+                name: 'main',
+                image: g.image,
+                resources: g.viaLimits ? { limits: amounts } : { requests: amounts, limits: amounts },
+              },
+            ],
+          },
+        },
+      },
+    };
+    return { g, work, manifest };
+  });
+
+test('all of what a manifest says arrives in the core’s terms', () => {
+  fc.assert(
+    fc.property(generated, ({ g, work, manifest }) => {
+      const m = accepted(manifest);
+      assert.ok(m.kind === 'Job');
+      assert.deepEqual(m.work, work);
+      assert.deepEqual(m.awaits, g.awaits);
+      assert.equal(m.suspend, g.suspend);
+      assert.deepEqual(m.manifest, manifest);
+    }),
+    { seed: 14, numRuns: 500 },
+  );
+});
+
+/** Every object within a tree, with its path. */
+const objectsIn = (v: unknown, path: (string | number)[] = []): { at: Tree; path: (string | number)[] }[] => {
+  if (Array.isArray(v)) return v.flatMap((x, i) => objectsIn(x, [...path, i]));
+  if (typeof v !== 'object' || v === null) return [];
+  return [{ at: v as Tree, path }, ...Object.entries(v).flatMap(([k, x]) => objectsIn(x, [...path, k]))];
+};
+/** Maps whose keys are the users' own. */
+const FREE = /(labels|annotations|matchLabels)$/;
+
+test('a field that is not in the subset is refused by its name, wherever it stands', () => {
+  fc.assert(
+    fc.property(
+      generated,
+      fc.nat(),
+      fc.stringMatching(/^[a-z][A-Za-z]{3,10}$/),
+      fc.anything({ maxDepth: 1 }),
+      ({ manifest }, where, name, value) => {
+        const copy = structuredClone(manifest) as Tree;
+        const places = objectsIn(copy).filter((o) => !FREE.test(fieldOf(o.path)));
+        const { at, path } = places[where % places.length]!;
+        fc.pre(
+          value !== undefined && !(name in at) && !['status', 'limits', 'labels', 'effect'].includes(name),
+        );
+        at[name] = value;
+        const field = fieldOf([...path, name]);
+        const found = refused(copy).find((p) => fieldOf(p.path) === field);
+        assert.equal(found?.reason, 'FieldValueForbidden', field);
+      },
+    ),
+    { seed: 15, numRuns: 500 },
+  );
+});
+
+test('whatever is sent is accepted whole or refused with a field, and nothing is thrown', () => {
+  fc.assert(
+    fc.property(generated, fc.nat(), fc.anything({ maxDepth: 3 }), ({ manifest }, where, value) => {
+      const copy = structuredClone(manifest) as Tree;
+      const places = objectsIn(copy);
+      const { at } = places[where % places.length]!;
+      const keys = Object.keys(at);
+      const key = keys[where % Math.max(1, keys.length)];
+      if (key !== undefined) at[key] = value;
+      const m = mapManifest(copy);
+      if (Either.isLeft(m))
+        for (const p of m.left) {
+          assert.ok(p.message.length > 3);
+          // In words for people, not in the schema library's.
+          assert.doesNotMatch(p.message, /^Expected|readonly|undefined/, fieldOf(p.path));
+        }
+    }),
+    { seed: 16, numRuns: 1_000 },
+  );
+});
+
+// ---- the refusals that people meet -------------------------------------------------------------------------
+
+const base = (): Tree =>
+  structuredClone({
+    apiVersion: 'batch/v1',
+    kind: 'Job',
+    metadata: { name: 'a' } as Tree,
+    spec: {
+      template: {
+        spec: {
+          restartPolicy: 'Never',
+          containers: [{ name: 'm', image: 'i', resources: { requests: { cpu: 1, memory: '1G' } } }],
+        },
+      },
+    },
+  });
+
+const changed = (path: (string | number)[], value: unknown): Tree => {
+  const all = base();
+  let at: Tree = all;
+  for (const p of path.slice(0, -1)) at = (at[p] ??= {}) as Tree;
+  at[String(path.at(-1))] = value;
+  return all;
+};
+const says = (path: (string | number)[], value: unknown): string =>
+  refused(changed(path, value))
+    .map((p) => `${fieldOf(p.path)}: ${p.message}`)
+    .join('\n');
+
+test('each refusal says the field and what to do', () => {
+  accepted(base());
+  const pod = ['spec', 'template', 'spec'];
+  assert.match(says(['spec', 'completions'], 5), /^spec\.parallelism: must be 5.*1 if it is missing/);
+  assert.match(says(['spec', 'parallelism'], 5), /^spec\.completions: is required/);
+  assert.match(says(['spec', 'completions'], 0), /^spec\.completions: must be a whole number from 1/);
+  assert.match(says(['spec', 'completions'], '5'), /^spec\.completions: must be a (whole )?number/);
+  assert.match(says([...pod, 'restartPolicy'], 'OnFailure'), /restartPolicy: must be Never/);
+  assert.match(
+    says([...pod, 'containers', 0, 'command'], ['sh']),
+    /command: is not in the subset: what runs/,
+  );
+  assert.match(says([...pod, 'containers'], []), /containers\[0\]: is required/);
+  const one = (base()['spec'] as { template: { spec: { containers: Tree[] } } }).template.spec.containers[0];
+  assert.match(says([...pod, 'containers'], [one, one]), /containers\[1\]: .*a pod is one container/);
+  assert.match(
+    says([...pod, 'containers', 0, 'resources', 'requests', 'cpu'], '1x'),
+    /cpu: must be a quantity/,
+  );
+  assert.match(
+    says([...pod, 'containers', 0, 'resources', 'requests'], { cpu: 1 }),
+    /requests\.memory: is req/,
+  );
+  assert.match(
+    says([...pod, 'containers', 0, 'resources', 'limits'], { cpu: '1500m' }),
+    /limits\.cpu: must equal the request, 1:/,
+  );
+  assert.match(
+    says(['metadata', 'annotations'], { 'shaleyoke/gnag': 'true' }),
+    /\[shaleyoke\/gnag\]: is none/,
+  );
+  assert.match(
+    says(['metadata', 'annotations'], { 'shaleyoke/gang': true }),
+    /gang\]: must be true or false/,
+  );
+  assert.match(says(['metadata', 'annotations'], { 'shaleyoke/awaits': 'a' }), /names the Job itself/);
+  assert.match(says(['metadata', 'name'], 'A_b'), /^metadata\.name: must be 1 to 63/);
+  assert.match(says(['spec'], null), /^spec: must be an object/);
+  assert.match(says(['kind'], 'CronJob'), /^kind: .*"CronJob" is not served here/);
+  // Each known refusal is one: none of them is accepted after all.
+  for (const pattern of REFUSALS.keys()) {
+    const path = pattern.split('.').flatMap((p) => (p.endsWith('[]') ? [p.slice(0, -2), 0] : [p]));
+    if (path.at(-1) === 0 || pattern.includes('resources.') || pattern.includes('minReady')) continue;
+    assert.ok(refused(changed(path, 1)).length > 0, pattern);
+  }
+});
+
+test('a Deployment’s shares are rounded as published, and what could never move is refused', () => {
+  const [, doc] = file('examples/borders-gang.yaml').split('---\n');
+  assert.ok(doc !== undefined);
+  const of = (replicas: number, rollingUpdate: Tree): Mapped =>
+    accepted({
+      apiVersion: 'apps/v1',
+      kind: 'Deployment',
+      metadata: { name: 'd' },
+      spec: {
+        replicas,
+        selector: { matchLabels: { app: 'd' } },
+        strategy: { rollingUpdate },
+        template: {
+          metadata: { labels: { app: 'd' } },
+          spec: {
+            containers: [{ name: 'm', image: 'i', resources: { limits: { cpu: 1, memory: '1G' } } }],
+          },
+        },
+      },
+    });
+  const rolling = (m: Mapped): unknown => (m.kind === 'Deployment' ? m.rolling : null);
+  assert.deepEqual(rolling(of(10, {})), { surge: 3, unavailable: 2 });
+  assert.deepEqual(rolling(of(3, { maxSurge: 0, maxUnavailable: '10%' })), { surge: 0, unavailable: 1 });
+  assert.deepEqual(rolling(of(7, { maxSurge: '100%', maxUnavailable: 0 })), { surge: 7, unavailable: 0 });
+  assert.throws(() => of(3, { maxSurge: 0, maxUnavailable: '0%' }), /maxUnavailable: must not be 0/);
+  assert.throws(() => of(3, { maxSurge: '101%' }), /maxSurge: must be a whole number or a percentage/);
+});
+
+// ---- files -----------------------------------------------------------------------------------------------
+
+test('every example is what it says, line by line', () => {
+  const lines = (name: string): string[] =>
+    checkText(file(`examples/${name}`)).map((f) => `${f.line}${f.bad ? '!' : ''} ${f.text}`);
+  assert.equal(lines('tiles-job.yaml')[0], '2 Job tiles-warszawa: an array of 40 tasks');
+  assert.ok(lines('borders-gang.yaml').includes('2 starts after tiles-warszawa'));
+  assert.ok(lines('borders-gang.yaml').includes('25 Deployment viewer: 4 pods, each a service of one task'));
+  assert.ok(!lines('borders-gang.yaml').some((l) => l.includes('!')));
+  const bad = lines('refused.yaml');
+  for (const [line, field] of [
+    [5, 'metadata.generateName'],
+    [7, 'spec.backoffLimit'],
+    [11, 'spec.template.spec.restartPolicy'],
+    [12, 'spec.template.spec.volumes'],
+    [17, 'spec.template.spec.containers[0].command'],
+  ] as const)
+    assert.ok(
+      bad.some((l) => l.startsWith(`${line}! ${field}: `)),
+      `${line} ${field}\n${bad.join('\n')}`,
+    );
+});
+
+test('files that are no manifests are told apart, and none of them takes long or much', () => {
+  const first = (text: string): string => checkText(text)[0]?.text ?? 'nothing';
+  assert.match(first('a: ['), /is not YAML/);
+  assert.match(first('kind: Job\nkind: Job\n'), /is not YAML: Map keys must be unique/);
+  assert.match(first('[1, 2]'), /is no object/);
+  assert.match(first('x: 1\n'), /is not served here/);
+  assert.match(first(`a: ${'x'.repeat(70_000)}`), /bytes as JSON; 65536 at most/);
+  const bomb = [
+    'a: &a [x,x,x,x,x,x,x,x,x]',
+    ...'bcdefghij'.split('').map((c, i) => {
+      const before = 'abcdefghi'[i];
+      return `${c}: &${c} [${Array.from({ length: 9 }, () => `*${before}`).join(',')}]`;
+    }),
+  ].join('\n');
+  assert.match(first(bomb), /can't be read/);
+  assert.match(first('---\n'.repeat(500).replaceAll('---\n', '---\na: 1\n')), /at most/);
+});
+
+test('the table in the documents is that of the schema', () => {
+  const page = file('docs/operating-kube.md').replace(/ +/g, ' ').replace(/-{3,}/g, '---');
+  for (const kind of ['Job', 'Deployment'] as const)
+    assert.ok(page.includes(markdownOf(kind).replace(/ +/g, ' ')), kind);
+});
--- a/packages/shaleyoke/src/main.ts
+++ b/packages/shaleyoke/src/main.ts
@@ -187,28 +187,37 @@
   };
 };
 
-const TOOLS = new Set(['budget', 'statement', 'help', '--help', '-h']);
+const HELP = new Set(['help', '--help', '-h']);
+const BUDGET_TOOLS = new Set(['budget', 'statement']);
+
+const print = (line: string): void => {
+  console.log(line);
+};
+const end = (code: number, problem?: string): void => {
+  if (problem !== undefined) console.error(problem);
+  process.exit(code);
+};
 
 const start = async (): Promise<void> => {
   const first = process.argv[2];
-  if (first === undefined || TOOLS.has(first)) {
+  const help = first === undefined || HELP.has(first);
+  if (help || first === 'kube') {
+    const { register } = await import('@shaleyoke/kube/plugin');
+    register(program, { print, end });
+  }
+  if (help || BUDGET_TOOLS.has(first)) {
     const { register } = await budgetsPlugin();
     register(program, {
       load,
       service: toolService,
-      print: (line) => {
-        console.log(line);
-      },
+      print,
       now: () => Date.now() * 1000,
-      end: (code, problem) => {
-        if (problem !== undefined) console.error(problem);
-        process.exit(code);
-      },
+      end,
     });
   }
   await program.parseAsync();
   // Connections to the state service stay open: a tool that is done ends all the same.
-  if (first === 'budget' || first === 'statement') process.exitCode ??= 0;
+  if (first !== undefined && BUDGET_TOOLS.has(first)) process.exitCode ??= 0;
 };
 
 start().catch(fail);
