Kube: objects on every node: identity, creation with the job, reading, watching, status

Need: what of the Kubernetes-shaped front has state, before any wire form.

Change: the core offers two more ports: a feature's part on every node, and a submission beside which other keys are put in the same transaction. On them stand a front (create, get, list in parts of one moment, watch with bookmarks and 410, delete) and the leader's keeper (status on record, deadlines, objects whose time is over, deletions and manifests that were cut short). One persistent map a node; questions are answered from a state no older than they are, learned with one request for all that wait; nothing is asked for while nobody asks.

Off, nothing changes: the features' list is empty.

Ruled out: object first and job later by a loop (orphans, and Jobs shown that may never be accepted); status put together from the core's records (several versions for one object). No listener yet, so it can't be switched on.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -6,7 +6,7 @@
 import type { CoreEffect, Input, MachineType, Micros, Report, Settings, WorkerAnswer } from './model.js';
 import { MILLI, SECOND } from './model.js';
 import { readTypes } from './records.js';
-import type { Feature } from './ports.js';
+import type { Feature, NodePart } from './ports.js';
 import { Scheduler } from './scheduler.js';
 
 export class Core {
@@ -15,6 +15,7 @@
   private readonly leadership: Leadership;
   private scheduler: Scheduler | null = null;
   private savedTypes = false;
+  private readonly parts = new Map<string, NodePart>();
 
   constructor(
     settings: Settings,
@@ -25,6 +26,15 @@
   ) {
     this.ctx = new Context(settings, stopwatch, verbose);
     this.desk = new Desk(this.ctx);
+    for (const f of features) {
+      const part = f.serve?.({
+        ctx: this.ctx,
+        ask: (body, then) => {
+          this.desk.ask(body, then);
+        },
+      });
+      if (part !== undefined) this.parts.set(f.name, part);
+    }
     this.leadership = new Leadership(
       this.ctx,
       (office) => {
@@ -87,6 +97,10 @@
           answer: this.answerReport(input.report),
         });
         return;
+      case 'asked':
+        this.ctx.wallOffset = input.wallUs - this.ctx.now;
+        this.parts.get(input.feature)?.asked(input.request, input.body);
+        return;
       case 'peer':
         this.desk.noteProgress(input.message);
         return;
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -4,7 +4,17 @@
  */
 import type { Context } from './context.js';
 import { activeKey, endedKey, idOfActive } from './keys.js';
-import type { Condition, JobSpec, JobView, PeerMessage, Stage, UserAnswer, UserRequest } from './model.js';
+import type {
+  Beside,
+  Condition,
+  InnerAnswer,
+  JobSpec,
+  JobView,
+  PeerMessage,
+  Stage,
+  UserAnswer,
+  UserRequest,
+} from './model.js';
 import { MILLI, SECOND, type Micros } from './model.js';
 import { fitsSomewhere } from './room.js';
 import { activeRecord, bytesOf, endedRecord, readActive, readEnded } from './records.js';
@@ -43,6 +53,10 @@
   private waiting = new Map<string, Waiter[]>();
   private validating = false;
 
+  /** Who waits for answers within this process, by request; those have numbers below zero. */
+  private readonly inner = new Map<number, (answer: InnerAnswer) => void>();
+  private lastInner = 0;
+
   private readonly gatherUs: Micros;
 
   constructor(private readonly ctx: Context) {
@@ -69,6 +83,13 @@
     }
   }
 
+  /** The same for a feature of this process: by the same path, with the answer handed over. */
+  ask(body: UserRequest, then: (answer: InnerAnswer) => void): void {
+    const request = --this.lastInner;
+    this.inner.set(request, then);
+    this.handle(request, body);
+  }
+
   /** Display counts from the leader. */
   noteProgress(m: PeerMessage): void {
     for (const n of m.notes) {
@@ -83,8 +104,12 @@
     this.remember(id, { kind: 'ended', stage, done, service });
   }
 
-  private answer(request: number, answer: UserAnswer): void {
-    this.ctx.emit({ kind: 'answerUser', request, answer });
+  private answer(request: number, answer: InnerAnswer): void {
+    const then = this.inner.get(request);
+    if (then !== undefined) {
+      this.inner.delete(request);
+      then(answer);
+    } else if (answer.kind !== 'taken') this.ctx.emit({ kind: 'answerUser', request, answer });
   }
 
   private unavailable(problem: string): UserAnswer {
@@ -357,7 +382,7 @@
       return;
     }
     this.checkNeeds(spec.needs, (problem) => {
-      if (problem === null) this.accept(request, spec, record);
+      if (problem === null) this.accept(request, spec, record, body.beside);
       else if (problem === 'unknown')
         this.answer(request, this.unavailable('named jobs can not be looked up'));
       else refuse({ kind: 'impossible', problem });
@@ -387,15 +412,16 @@
     if (--left === 0) then(worst);
   }
 
-  private accept(request: number, spec: JobSpec, record: unknown): void {
+  private accept(request: number, spec: JobSpec, record: unknown, beside: Beside | undefined): void {
     this.ctx.state(
       {
         kind: 'txn',
         conditions: [
           { key: activeKey(spec.id), version: 0 },
           { key: endedKey(spec.id), version: 0 },
+          ...(beside?.conditions ?? []),
         ],
-        writes: [{ kind: 'put', key: activeKey(spec.id), value: record }],
+        writes: [{ kind: 'put', key: activeKey(spec.id), value: record }, ...(beside?.writes ?? [])],
       },
       1,
       (r) => {
@@ -408,8 +434,18 @@
             tasks: spec.tasks,
             ...(spec.needs.length > 0 ? { needs: spec.needs } : {}),
           });
-          this.showAccepted(request, k);
-        } else if (r.kind === 'conflict') {
+          // A feature's client is told of what was put just now; how the job stands it asks for later.
+          if (beside !== undefined)
+            this.answer(request, {
+              kind: 'view',
+              created: true,
+              view: this.view(spec.id, k),
+              revision: r.revision,
+            });
+          else this.showAccepted(request, k);
+        } else if (r.kind === 'conflict' && beside?.conditions.some((c) => r.failed.includes(c.key)) === true)
+          this.answer(request, { kind: 'taken', keys: r.failed });
+        else if (r.kind === 'conflict') {
           this.lookup(spec.id, (f) =>
             this.found(request, spec.id, f, this.unavailable('record changed meanwhile')),
           );
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -264,6 +264,12 @@
   readonly notes: readonly ProgressNote[];
 }
 
+/** Put together with a job's record, in the same transaction, or not at all. */
+export interface Beside {
+  readonly conditions: readonly Condition[];
+  readonly writes: readonly Write[];
+}
+
 export type UserRequest =
   | {
       readonly kind: 'submit';
@@ -271,19 +277,30 @@
       readonly id: string | null;
       readonly spec: JobSpec | null;
       readonly problem: string | null;
+      /** Never from the users' own interface. */
+      readonly beside?: Beside;
     }
   | { readonly kind: 'poll'; readonly id: string }
   | { readonly kind: 'cancel'; readonly id: string }
   | { readonly kind: 'health' };
 
 export type UserAnswer =
-  | { readonly kind: 'view'; readonly created: boolean; readonly view: JobView }
+  | {
+      readonly kind: 'view';
+      readonly created: boolean;
+      readonly view: JobView;
+      /** Of the transaction that accepted it just now. */
+      readonly revision?: number;
+    }
   | { readonly kind: 'malformed'; readonly problem: string }
   | { readonly kind: 'impossible'; readonly problem: string }
   | { readonly kind: 'absent' }
   | { readonly kind: 'unavailable'; readonly retryAfterS: number; readonly problem: string }
   | { readonly kind: 'healthy' };
 
+/** What a feature is told that asked on a client's behalf; `taken`: keys of `beside` that were there already. */
+export type InnerAnswer = UserAnswer | { readonly kind: 'taken'; readonly keys: readonly string[] };
+
 export type WorkerAnswer =
   | { readonly kind: 'accepted'; readonly token: number; readonly orders: readonly Order[] }
   | { readonly kind: 'redirect'; readonly leader: string | null }
@@ -300,6 +317,14 @@
   | { readonly kind: 'orders'; readonly call: number; readonly reply: OrdersReply }
   | { readonly kind: 'user'; readonly request: number; readonly body: UserRequest; readonly wallUs: Micros }
   | { readonly kind: 'report'; readonly request: number; readonly report: Report }
+  /** Of a client of a feature; the feature alone knows what `body` is. */
+  | {
+      readonly kind: 'asked';
+      readonly feature: string;
+      readonly request: number;
+      readonly body: unknown;
+      readonly wallUs: Micros;
+    }
   | { readonly kind: 'peer'; readonly message: PeerMessage };
 
 export type LogLevel = 'debug' | 'info' | 'error';
@@ -319,6 +344,14 @@
     }
   | { readonly kind: 'answerUser'; readonly request: number; readonly answer: UserAnswer }
   | { readonly kind: 'answerWorker'; readonly request: number; readonly answer: WorkerAnswer }
+  /** One of several for the same request, until `last`. */
+  | {
+      readonly kind: 'answerAsked';
+      readonly feature: string;
+      readonly request: number;
+      readonly answer: unknown;
+      readonly last: boolean;
+    }
   | { readonly kind: 'peer'; readonly member: string; readonly message: PeerMessage }
   | { readonly kind: 'wake'; readonly at: Micros }
   /** The leader gets the larger part of the request budget that the nodes share. */
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -4,7 +4,8 @@
  * can hold back a job that has not begun, and that is all.
  */
 import type { ActiveJob, Attempt, Hold, Machine } from './cluster.js';
-import type { ReportedTask } from './model.js';
+import type { Context } from './context.js';
+import type { InnerAnswer, ReportedTask, UserRequest } from './model.js';
 import type { Term } from './term.js';
 
 /** A feature within one term. All calls are synchronous; none may throw for what the outside did. */
@@ -37,8 +38,23 @@
   needing(id: string): Iterable<ActiveJob>;
 }
 
+/** What a feature may do on any node, whoever leads. */
+export interface NodeLinks {
+  readonly ctx: Context;
+  /** As a user of this node would ask, on the same path. */
+  ask(body: UserRequest, then: (answer: InnerAnswer) => void): void;
+}
+
+/** A feature's part on a node, for clients of its own. */
+export interface NodePart {
+  /** `request` is answered by `answerAsked`. */
+  asked(request: number, body: unknown): void;
+}
+
 export interface Feature {
   readonly name: string;
+  /** Called once for a process, before anything else. */
+  serve?(links: NodeLinks): NodePart;
   /** A new term; called before anything of it is known. */
   begin(term: Term, links: Links): FeatureTerm;
 }
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -21,7 +21,9 @@
   UserAnswer,
 } from '@shaleyoke/core/model';
 import { MILLI, SECOND } from '@shaleyoke/core/model';
+import { activeKey } from '@shaleyoke/core/keys';
 import type { Feature } from '@shaleyoke/core/ports';
+import { readActive } from '@shaleyoke/core/records';
 import { parseSettings } from '@shaleyoke/settings/settings';
 import type { Random } from './random.js';
 import { StateModel } from './state-model.js';
@@ -165,6 +167,7 @@
   private readonly bookings = new Map<string, string[]>();
   private nextRequest = 1;
   private readonly asking = new Map<string, (a: UserAnswer) => void>();
+  private readonly askingFeatures = new Map<string, (answer: unknown, last: boolean) => void>();
 
   constructor(
     readonly random: Random,
@@ -265,6 +268,9 @@
         reply?.(e.answer);
         return;
       }
+      case 'answerAsked':
+        this.askingFeatures.get(`${n.name}/${life}/${e.request}`)?.(e.answer, e.last);
+        return;
       case 'wake':
         n.wake = e.at + n.startAt - 1;
         return;
@@ -527,10 +533,19 @@
     });
   }
 
+  /** A job's description as its worker fetches it, whoever submitted the job. */
+  private describe(id: string): JobSpec | undefined {
+    const known = this.specs.get(id);
+    if (known !== undefined) return known;
+    const spec = readActive(this.state.value(activeKey(id)))?.spec;
+    if (spec !== undefined) this.specs.set(id, spec);
+    return spec;
+  }
+
   /** The rules, checked at the moment of a start. */
   private checkStart(w: Worker, o: Order & { op: 'start' }): void {
     this.starts++;
-    const spec = this.specs.get(o.job);
+    const spec = this.describe(o.job);
     if (spec === undefined) {
       this.broken.push(`start of unknown ${o.job}`);
       return;
@@ -725,6 +740,37 @@
     );
   }
 
+  /**
+   * A feature's client asks a node; `told` is called for each answer, and with null where the connection ends before
+   * the last: nobody is there, or the node goes.
+   */
+  askFeature(
+    node: number,
+    feature: string,
+    body: unknown,
+    told: (answer: unknown, last: boolean) => void,
+  ): void {
+    const n = this.nodes[node]!;
+    const { life } = n;
+    const request = this.nextRequest++;
+    let open = true;
+    const tell = (answer: unknown, last: boolean): void => {
+      if (!open) return;
+      open = !last;
+      told(answer, last);
+    };
+    this.askingFeatures.set(`${n.name}/${life}/${request}`, tell);
+    this.plan(2 * MILLI, () => {
+      if (n.core !== null && n.life === life)
+        this.feed(n, { kind: 'asked', feature, request, body, wallUs: this.wall });
+    });
+    const look = (): void => {
+      if (open && (n.core === null || n.life !== life)) tell(null, true);
+      else if (open) this.plan(200 * MILLI, look);
+    };
+    look();
+  }
+
   poll(id: string): void {
     const known = this.told.get(id);
     this.ask(
--- /dev/null
+++ b/packages/kube/src/feature.ts
@@ -0,0 +1,28 @@
+/** The front as a feature of the core: its part on each node, and its part in the leader's term. */
+import type { Feature, FeatureTerm, NodeLinks, NodePart } from '@shaleyoke/core/ports';
+import type { Term } from '@shaleyoke/core/term';
+import { Front, FEATURE } from './front.js';
+import { Keeper } from './keeper.js';
+
+export class Kube implements Feature {
+  readonly name = FEATURE;
+  private front: Front | null = null;
+  private links: NodeLinks | null = null;
+
+  /** `random`: 16 bytes that nobody can guess, for each call; `changesPerS`: what status may take, on average. */
+  constructor(
+    private readonly random: () => Uint8Array,
+    private readonly changesPerS: number,
+  ) {}
+
+  serve(links: NodeLinks): NodePart {
+    this.links = links;
+    this.front = new Front(links, this.random);
+    return this.front;
+  }
+
+  begin(term: Term): FeatureTerm {
+    if (this.front === null || this.links === null) throw new Error('begin comes after serve');
+    return new Keeper(term, this.links, this.front.follow, this.changesPerS);
+  }
+}
--- /dev/null
+++ b/packages/kube/src/front.ts
@@ -0,0 +1,291 @@
+/**
+ * The front on a node: takes objects, shows them, and tells of their changes. Decides and remembers; its only way out is
+ * the core's context, and the desk that native submissions go through as well.
+ */
+import { Either } from 'effect';
+import { objectRoom } from './limits.js';
+import type { Condition, InnerAnswer, JobSpec, Write } from '@shaleyoke/core/model';
+import type { NodeLinks, NodePart } from '@shaleyoke/core/ports';
+import { refuse, type KubeAnswer, type KubeRequest, type Refusal } from './api.js';
+import { Deletion } from './deletion.js';
+import { Follow } from './follow.js';
+import { nativeIdOf, uidOf } from './identity.js';
+import { mapManifest, type MappedJob } from './mapping.js';
+import { textOf, type Problem } from './problems.js';
+import { manifestKey, newStatus, objectKey, piecesOf, type ObjectRecord } from './records.js';
+import { jobOf } from './render.js';
+import { Lists } from './lists.js';
+import type { KubeObject } from './view.js';
+import { Watches } from './watches.js';
+
+/** Objects in all: each node holds them. */
+const MOST_OBJECTS = 10_000;
+/** Ids that are drawn before it is given up. */
+const DRAWS = 3;
+
+export const FEATURE = 'kube';
+
+const invalid = (name: string, causes: readonly Problem[]): Refusal =>
+  refuse(422, 'Invalid', `Job.batch "${name}" is invalid: ${causes.map(textOf).join('; ')}`, causes);
+const unavailable = (problem: string): Refusal => refuse(503, 'ServiceUnavailable', problem);
+const notFound = (name: string): Refusal => refuse(404, 'NotFound', `jobs.batch "${name}" not found`);
+
+export class Front implements NodePart {
+  readonly follow: Follow;
+  private readonly watches: Watches;
+  private readonly lists: Lists;
+  private readonly deletion: Deletion;
+
+  /** `random`: 16 bytes that nobody can guess, for each call. */
+  constructor(
+    private readonly links: NodeLinks,
+    private readonly random: () => Uint8Array,
+  ) {
+    this.follow = new Follow(links.ctx, {
+      changed: (changes) => {
+        this.watches.tell(changes);
+      },
+      lost: () => {
+        this.watches.endAll();
+      },
+    });
+    this.watches = new Watches(links.ctx, this.follow, (request, answer, last) => {
+      this.answer(request, answer, last);
+    });
+    this.lists = new Lists(this.follow.view, () => links.ctx.now);
+    this.deletion = new Deletion(links);
+  }
+
+  private answer(request: number, answer: KubeAnswer, last = true): void {
+    this.links.ctx.emit({ kind: 'answerAsked', feature: FEATURE, request, answer, last });
+  }
+
+  asked(request: number, body: unknown): void {
+    const r = body as KubeRequest;
+    if (r.verb === 'unwatch') {
+      this.watches.end(r.watch);
+      return;
+    }
+    if (r.verb === 'create') {
+      this.create(request, r);
+      return;
+    }
+    this.follow.sync((ok) => {
+      if (!ok) this.answer(request, unavailable('state service not answering'));
+      else if (r.verb === 'get') this.get(request, r.namespace, r.name);
+      else if (r.verb === 'list') this.answer(request, this.lists.answer(r));
+      else if (r.verb === 'watch') this.watches.begin(request, r);
+      else this.remove(request, r);
+    });
+  }
+
+  private get(request: number, namespace: string, name: string): void {
+    const o = this.follow.view.get(objectKey(namespace, name));
+    this.answer(request, o === null ? notFound(name) : { kind: 'object', created: false, object: jobOf(o) });
+  }
+
+  // ---- creation ----------------------------------------------------------------------------------------
+
+  private create(request: number, r: KubeRequest & { verb: 'create' }): void {
+    const mapped = mapManifest(r.manifest);
+    if (Either.isLeft(mapped)) {
+      this.answer(request, invalid(nameIn(r.manifest), mapped.left));
+      return;
+    }
+    const m = mapped.right;
+    const wrong = notYet(m.kind, m.kind === 'Job' && m.suspend, m.manifest.metadata.namespace, r.namespace);
+    if (wrong !== null || m.kind !== 'Job') {
+      this.answer(request, invalid(m.manifest.metadata.name, wrong === null ? [] : [wrong]));
+      return;
+    }
+    // A name that is taken is told at once, and awaited Jobs are looked up as of now.
+    this.follow.sync((ok) => {
+      if (!ok) this.answer(request, unavailable('state service not answering'));
+      else this.admit(request, r, m);
+    });
+  }
+
+  private admit(request: number, r: KubeRequest & { verb: 'create' }, m: MappedJob): void {
+    const { view } = this.follow;
+    const { name } = m.manifest.metadata;
+    const key = objectKey(r.namespace, name);
+    if (view.get(key) !== null || view.unreadable.has(key)) {
+      this.answer(request, refuse(409, 'AlreadyExists', `jobs.batch "${name}" already exists`));
+      return;
+    }
+    if (view.count >= MOST_OBJECTS) {
+      this.answer(request, refuse(429, 'TooManyRequests', `there are ${MOST_OBJECTS} objects; delete some`));
+      return;
+    }
+    const needs: string[] = [];
+    const causes: Problem[] = [];
+    for (const awaited of m.awaits) {
+      const o = view.get(objectKey(r.namespace, awaited));
+      if (o !== null && o.record.deleting === null) needs.push(o.record.id);
+      else
+        causes.push({
+          path: ['metadata', 'annotations', 'shaleyoke/awaits'],
+          reason: 'FieldValueInvalid',
+          message: `"${awaited}" is no Job of this namespace; create it first`,
+        });
+    }
+    if (causes.length > 0) this.answer(request, invalid(name, causes));
+    else this.draw(request, r, m, needs, DRAWS);
+  }
+
+  /** Draws an identity and puts all of it; `draws`: how often another one may be tried. */
+  private draw(
+    request: number,
+    r: KubeRequest & { verb: 'create' },
+    m: MappedJob,
+    needs: readonly string[],
+    draws: number,
+  ): void {
+    const { settings, wallNow } = this.links.ctx;
+    const uid = uidOf(this.random());
+    const spec: JobSpec = { ...m.work, id: nativeIdOf(uid), team: r.team, needs };
+    const pieces = piecesOf(JSON.stringify(m.manifest), objectRoom(settings.valueBytes));
+    const record: ObjectRecord = {
+      v: 1,
+      uid,
+      id: spec.id,
+      at: wallNow,
+      pieces: pieces.length,
+      status: newStatus(),
+      deleting: null,
+    };
+    const writes = pieces.map((value, n): Write => ({ kind: 'put', key: manifestKey(uid, n), value }));
+    // The job's record, the object, and as many pieces as there is room for; the others come before.
+    const room = settings.txnOps - 2;
+    this.putFirst(writes.slice(room), settings.txnOps, [], (conditions) => {
+      if (conditions === null) {
+        this.answer(request, unavailable('state service not answering'));
+        return;
+      }
+      const key = objectKey(r.namespace, m.manifest.metadata.name);
+      const beside = {
+        conditions: [{ key, version: 0 }, ...conditions],
+        writes: [{ kind: 'put' as const, key, value: record }, ...writes.slice(0, room)],
+      };
+      this.links.ask({ kind: 'submit', id: spec.id, spec, problem: null, beside }, (a) => {
+        const taken = a.kind === 'view' && !a.created;
+        // Somebody has that id: with a hundred random bits, a native user who was told it, if anybody.
+        if (taken && draws > 1) this.draw(request, r, m, needs, draws - 1);
+        else this.created(request, r.namespace, m, record, a);
+      });
+    });
+  }
+
+  /** Pieces that have no room beside the object; their versions are conditions then, so that none is swept away. */
+  private putFirst(
+    writes: readonly Write[],
+    ops: number,
+    put: readonly Condition[],
+    then: (conditions: readonly Condition[] | null) => void,
+  ): void {
+    if (writes.length === 0) {
+      then(put);
+      return;
+    }
+    const some = writes.slice(0, ops);
+    const conditions = some.map((w) => ({ key: w.key, version: 0 }));
+    this.links.ctx.state({ kind: 'txn', conditions, writes: some }, 1, (r) => {
+      if (r.kind !== 'ok') then(null);
+      else {
+        const now = some.map((w) => ({ key: w.key, version: r.revision }));
+        this.putFirst(writes.slice(ops), ops, [...put, ...now], then);
+      }
+    });
+  }
+
+  private created(
+    request: number,
+    namespace: string,
+    m: MappedJob,
+    record: ObjectRecord,
+    a: InnerAnswer,
+  ): void {
+    const { name } = m.manifest.metadata;
+    const cause = (message: string): Refusal =>
+      invalid(name, [{ path: ['spec'], reason: 'FieldValueInvalid', message }]);
+    switch (a.kind) {
+      case 'view': {
+        if (!a.created || a.revision === undefined) {
+          this.answer(request, unavailable('no free id was found'));
+          return;
+        }
+        const key = objectKey(namespace, name);
+        const manifest = m.manifest as unknown as KubeObject['manifest'];
+        const object: KubeObject = { key, namespace, name, record, manifest, version: a.revision };
+        this.answer(request, { kind: 'object', created: true, object: jobOf(object) });
+        return;
+      }
+      case 'taken':
+        this.answer(
+          request,
+          a.keys.includes(objectKey(namespace, name))
+            ? refuse(409, 'AlreadyExists', `jobs.batch "${name}" already exists`)
+            : unavailable('the manifest was swept away meanwhile'),
+        );
+        return;
+      case 'impossible':
+      case 'malformed':
+        this.answer(request, cause(`can never run: ${a.problem}`));
+        return;
+      case 'unavailable':
+        this.answer(request, unavailable(a.problem));
+        return;
+      default:
+        this.answer(request, unavailable('not decided'));
+    }
+  }
+
+  // ---- deletion ----------------------------------------------------------------------------------------
+
+  private remove(request: number, r: KubeRequest & { verb: 'delete' }): void {
+    const o = this.follow.view.get(objectKey(r.namespace, r.name));
+    if (o === null) {
+      this.answer(request, notFound(r.name));
+      return;
+    }
+    if ((r.uid !== null && r.uid !== o.record.uid) || (r.version !== null && r.version !== o.version)) {
+      this.answer(request, refuse(409, 'Conflict', `jobs.batch "${r.name}": preconditions are not met`));
+      return;
+    }
+    this.deletion.begin(o, (marked) => {
+      if (marked === 'changed') this.asked(request, r);
+      else if (marked === 'failed') this.answer(request, unavailable('state service not answering'));
+      else {
+        // From here on it is sure; a node that dies now leaves the rest to the leader.
+        this.deletion.finish(marked, () => {
+          this.answer(request, { kind: 'deleted', object: jobOf(marked) });
+        });
+      }
+    });
+  }
+}
+
+const nameIn = (manifest: unknown): string => {
+  const m = manifest as { metadata?: { name?: unknown } } | null | undefined;
+  return typeof m?.metadata?.name === 'string' ? m.metadata.name : '';
+};
+
+/** What is understood and not served yet, or contradicts the request. */
+const notYet = (
+  kind: string,
+  suspended: boolean,
+  named: string | undefined,
+  namespace: string,
+): Problem | null => {
+  if (kind !== 'Job')
+    return { path: ['kind'], reason: 'FieldValueNotSupported', message: `${kind} is not served yet` };
+  if (suspended)
+    return { path: ['spec', 'suspend'], reason: 'FieldValueNotSupported', message: 'true is not served yet' };
+  if (named !== undefined && named !== namespace)
+    return {
+      path: ['metadata', 'namespace'],
+      reason: 'FieldValueInvalid',
+      message: `must be ${namespace}, the namespace of the request`,
+    };
+  return null;
+};
--- /dev/null
+++ b/packages/kube/src/keeper.ts
@@ -0,0 +1,202 @@
+/**
+ * What of the objects is the leader's: their status on record, deadlines, deletions that were cut short, and pieces of
+ * manifests that nobody names. Everything is found anew from the records, so that any leader goes on where the one
+ * before stopped.
+ */
+import type { ActiveJob, Hold } from '@shaleyoke/core/cluster';
+import { endedKey, LEAD } from '@shaleyoke/core/keys';
+import type { Micros, Write } from '@shaleyoke/core/model';
+import { SECOND } from '@shaleyoke/core/model';
+import type { FeatureTerm, NodeLinks } from '@shaleyoke/core/ports';
+import { readEnded } from '@shaleyoke/core/records';
+import type { Term } from '@shaleyoke/core/term';
+import { RedBlackTree } from 'effect';
+import { Deletion } from './deletion.js';
+import type { Follow } from './follow.js';
+import { manifestKey } from './records.js';
+import { dutyOf, type Duty, type Seen, type Times } from './status.js';
+import type { KubeObject } from './view.js';
+
+const LOOK_EVERY: Micros = SECOND;
+/** Pieces that nobody names are left alone for so long: their object may be about to be put. */
+const SWEEP_AFTER: Micros = 120 * SECOND;
+/** Endings that are read at the same time. */
+const MOST_READS = 8;
+
+export class Keeper implements FeatureTerm {
+  private on = false;
+  private syncing = false;
+  private lookAt: Micros = 0;
+  /** Changes that may be made now. */
+  private allowance = 0;
+  private allowanceAt: Micros;
+  /** Objects with something under way, by key. */
+  private readonly busy = new Set<string>();
+  private reads = 0;
+  /** Jobs that have ended, as their records say. */
+  private readonly ends = new Map<string, Seen>();
+  /** Uids of pieces that nobody names, and since when. */
+  private readonly loose = new Map<string, Micros>();
+  private readonly deletion: Deletion;
+
+  constructor(
+    private readonly term: Term,
+    private readonly links: NodeLinks,
+    private readonly follow: Follow,
+    /** Changes a second that status may take, on average. */
+    private readonly changesPerS: number,
+  ) {
+    this.deletion = new Deletion(links);
+    this.allowanceAt = term.ctx.now;
+  }
+
+  ready(): void {
+    this.on = true;
+  }
+
+  stop(): void {
+    this.on = false;
+  }
+
+  running(): void {
+    // Seen at the next look.
+  }
+  ended(): void {
+    // Seen at the next look.
+  }
+  exited(): void {
+    // Seen at the next look.
+  }
+  gone(): void {
+    // Seen at the next look.
+  }
+  closed(job: ActiveJob): void {
+    this.ends.delete(job.id);
+  }
+  keeps(): boolean {
+    return false;
+  }
+  holds(): Hold | null {
+    return null;
+  }
+
+  sweep(entitled: boolean): void {
+    const { ctx } = this.term;
+    if (!this.on || !entitled || this.syncing || ctx.now < this.lookAt) return;
+    this.lookAt = ctx.now + LOOK_EVERY;
+    this.syncing = true;
+    this.follow.sync((ok) => {
+      this.syncing = false;
+      if (ok && this.on && !this.term.stopped) this.look();
+    });
+  }
+
+  private look(): void {
+    const { ctx } = this.term;
+    const gained = ((ctx.now - this.allowanceAt) / SECOND) * this.changesPerS;
+    this.allowance = Math.min(Math.max(2, this.changesPerS * 2), this.allowance + gained);
+    this.allowanceAt = ctx.now;
+    const duties: { o: KubeObject; duty: Duty }[] = [];
+    for (const o of RedBlackTree.values(this.follow.view.objects)) {
+      if (this.busy.has(o.key)) continue;
+      const duty = dutyOf(o.record, this.seen(o), timesOf(o), ctx.wallNow);
+      if (duty !== null) duties.push({ o, duty });
+    }
+    // The last word first; counts are shed while changes are scarce.
+    duties.sort((a, b) => rankOf(a.duty) - rankOf(b.duty) || a.o.version - b.o.version);
+    for (const { o, duty } of duties) {
+      if (this.allowance < 1) break;
+      this.allowance--;
+      this.carryOut(o, duty);
+    }
+    this.sweepLoose();
+  }
+
+  private seen(o: KubeObject): Seen {
+    const { id, status } = o.record;
+    if (status.result !== null) return { kind: 'unknown' };
+    const job = this.term.estate.jobs.get(id);
+    if (job !== undefined && job.phase !== 'ended')
+      return { kind: 'open', running: job.running(), done: job.done.count };
+    const known = this.ends.get(id);
+    if (known === undefined) this.readEnd(id);
+    return known ?? { kind: 'unknown' };
+  }
+
+  /** A job that this leader does not have: its final record says how it ended. */
+  private readEnd(id: string): void {
+    if (this.reads >= MOST_READS) return;
+    this.reads++;
+    this.term.ctx.state({ kind: 'get', key: endedKey(id) }, 2, (r) => {
+      this.reads--;
+      const end = r.kind === 'item' ? readEnded(r.item.value) : null;
+      if (end === null) return;
+      this.ends.set(id, { kind: end.stage === 'done' ? 'done' : 'withdrawn', done: end.done });
+    });
+  }
+
+  private carryOut(o: KubeObject, duty: Duty): void {
+    this.busy.add(o.key);
+    const done = (): void => {
+      this.busy.delete(o.key);
+    };
+    switch (duty.kind) {
+      case 'record':
+        this.put(o, { ...o.record, status: duty.status }, () => {
+          if (duty.final) this.ends.delete(o.record.id);
+          done();
+        });
+        return;
+      case 'withdraw':
+        this.links.ask({ kind: 'cancel', id: o.record.id }, done);
+        return;
+      case 'expire':
+        this.deletion.begin(o, (marked) => {
+          if (typeof marked === 'string') done();
+          else this.deletion.finish(marked, done);
+        });
+        return;
+      case 'finish':
+        this.deletion.finish(o, done);
+    }
+  }
+
+  /** Only by the leader, and only over what it has seen. */
+  private put(o: KubeObject, record: KubeObject['record'], then: () => void): void {
+    const { ctx, office, leadership } = this.term;
+    const conditions = [
+      { key: LEAD, version: office.version },
+      { key: o.key, version: o.version },
+    ];
+    ctx.state({ kind: 'txn', conditions, writes: [{ kind: 'put', key: o.key, value: record }] }, 2, (r) => {
+      if (r.kind === 'conflict' && r.failed.includes(LEAD) && !this.term.stopped) leadership.lose('fenced');
+      then();
+    });
+  }
+
+  private sweepLoose(): void {
+    const { ctx } = this.term;
+    const unnamed = this.follow.view.unnamed();
+    for (const uid of this.loose.keys()) if (!unnamed.has(uid)) this.loose.delete(uid);
+    for (const [uid, pieces] of unnamed) {
+      const since = this.loose.get(uid);
+      if (since === undefined) this.loose.set(uid, ctx.now);
+      else if (ctx.now > since + SWEEP_AFTER && this.allowance >= 1) {
+        const some = pieces.slice(0, ctx.settings.txnOps);
+        this.allowance -= some.length;
+        const writes = some.map((n): Write => ({ kind: 'delete', key: manifestKey(uid, n) }));
+        const conditions = [{ key: LEAD, version: this.term.office.version }];
+        ctx.state({ kind: 'txn', conditions, writes }, 2, () => undefined);
+      }
+    }
+  }
+}
+
+const rankOf = (d: Duty): number => (d.kind === 'record' && !d.final ? 1 : 0);
+
+/** From the manifest as it was sent, which was checked then. */
+const timesOf = (o: KubeObject): Times => {
+  const spec = o.manifest['spec'] as { activeDeadlineSeconds?: number; ttlSecondsAfterFinished?: number };
+  const us = (s: number | undefined): Micros | null => (s === undefined ? null : s * SECOND);
+  return { activeDeadlineUs: us(spec.activeDeadlineSeconds), ttlUs: us(spec.ttlSecondsAfterFinished) };
+};
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -17,6 +17,8 @@
 class Node {
   private readonly core: Core;
   private readonly open = new Map<number, (o: Outgoing) => void>();
+  /** Clients of features, by request. */
+  private readonly asking = new Map<number, (answer: unknown, last: boolean) => void>();
   private nextRequest = 1;
   private timer: NodeJS.Timeout | null = null;
 
@@ -83,6 +85,12 @@
       case 'answerWorker':
         this.answer(e.request, encodeWorkerAnswer(e.answer));
         return;
+      case 'answerAsked': {
+        const told = this.asking.get(e.request);
+        if (e.last) this.asking.delete(e.request);
+        told?.(e.answer, e.last);
+        return;
+      }
       case 'wake':
         this.wake(e.at);
         return;
@@ -107,6 +115,13 @@
     this.feed({ kind: 'user', request, body, wallUs: wallNow() });
   }
 
+  /** A feature's client asks; `told` is called for each answer, until the last. */
+  askFeature(feature: string, body: unknown, told: (answer: unknown, last: boolean) => void): void {
+    const request = this.nextRequest++;
+    this.asking.set(request, told);
+    this.feed({ kind: 'asked', feature, request, body, wallUs: wallNow() });
+  }
+
   onPublic(method: string, url: string, body: Buffer, answer: (o: Outgoing) => void): void {
     const r = route(method, url);
     switch (r.kind) {
