Kube: a listener with tenants, tokens and address ranges, driven by the client library

Need: the front could not be reached.

A team never comes from a client; what another tenant owns is answered as what nobody owns, byte for byte. Sockets, headers, bodies, nesting, unread watches and questions to the state service are bounded.

Result: over loopback, three real controllers: created, listed, read, complete, deleted through @kubernetes/client-node by any node; an informer runs through a killed controller and a stalled state service; wrong requests each with their code.

Found: a body of 25 kB with five thousand levels ended the whole process within the YAML parser (the regular expressions of a library compiled near the end of the stack: nobody can catch that). Nesting is bounded before anything is parsed, and bodies are read once it is known who sends them; a test holds both.

--- a/packages/emulator/src/loopback.ts
+++ b/packages/emulator/src/loopback.ts
@@ -7,7 +7,9 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { CloudOp, CloudReply, JobSpec, MachineType, Micros } from '@shaleyoke/core/model';
+import { activeKey } from '@shaleyoke/core/keys';
 import { SECOND } from '@shaleyoke/core/model';
+import { readActive } from '@shaleyoke/core/records';
 import { asFields, decodeBody } from '@shaleyoke/protocol/body';
 import { call, serve, type Served } from './loopback-http.js';
 import { LoopWorker, type WorkerWorld } from './loopback-workers.js';
@@ -24,6 +26,8 @@
   readonly perZone: number;
   /** A budgets file to switch on, as text; null: off. */
   readonly budgets: string | null;
+  /** A file that switches Kubernetes-shaped clients on, as text, for the port that each node listens on; null: off. */
+  readonly kube?: ((port: number) => string) | null;
   /** Where logs of the controllers go; null: nowhere. */
   readonly log: ((member: string, line: string) => void) | null;
 }
@@ -49,6 +53,8 @@
   readonly member: string;
   readonly address: string;
   readonly config: string;
+  /** Where Kubernetes-shaped clients come in; empty: nowhere. */
+  readonly kube: string;
   child: ChildProcess | null;
 }
 
@@ -100,11 +106,12 @@
       reply(encodeCloudReply(this.cloud(cloudOpOf(r.method, r.url, r.body))));
     });
     this.servers.push(state, cloud);
-    const ports = await this.freePorts(2 * this.o.nodes);
+    const ports = await this.freePorts(3 * this.o.nodes);
     const members = Array.from({ length: this.o.nodes }, (_, i) => ({
       member: `dock-${i}`,
-      listen: `127.0.0.1:${ports[2 * i]}`,
-      peer: `127.0.0.1:${ports[2 * i + 1]}`,
+      listen: `127.0.0.1:${ports[3 * i]}`,
+      peer: `127.0.0.1:${ports[3 * i + 1]}`,
+      kube: ports[3 * i + 2]!,
     }));
     for (const m of members) {
       const peers = members
@@ -121,7 +128,10 @@
           '[cluster.state]\nrps = 300.0\nwrite_rps = 80.0\nvalue_kb = 16.0\ntxn_ops = 16\n' +
           '[cluster.cloud]\nrps = 6.0\nlist_lag_s = 1.0\n',
       );
-      this.nodes.push({ member: m.member, address: m.listen, config, child: null });
+      const text = this.o.kube?.(m.kube);
+      if (text !== undefined) writeFileSync(this.kubeFile(m.member), text);
+      const kube = text === undefined ? '' : `127.0.0.1:${m.kube}`;
+      this.nodes.push({ member: m.member, address: m.listen, config, kube, child: null });
     }
     if (this.o.budgets !== null) writeFileSync(this.budgetsFile, this.o.budgets);
     for (const n of this.nodes) this.launch(n);
@@ -131,6 +141,10 @@
     return join(this.folder, 'budgets.yaml');
   }
 
+  kubeFile(member: string): string {
+    return join(this.folder, `${member}-kube.yaml`);
+  }
+
   private async freePorts(count: number): Promise<number[]> {
     const held = await Promise.all(
       Array.from({ length: count }, () => serve('127.0.0.1:0', () => undefined)),
@@ -143,6 +157,7 @@
     const [program, ...first] = this.o.program;
     const args = [...first, 'serve', '--config', n.config];
     if (this.o.budgets !== null) args.push('--budgets', this.budgetsFile);
+    if (n.kube !== '') args.push('--kube', this.kubeFile(n.member));
     const child = spawn(program!, args, { stdio: ['ignore', 'ignore', 'pipe'] });
     n.child = child;
     let rest = '';
@@ -214,7 +229,8 @@
     this.bills.push({ machine: name, type: type.name, from: this.now(), to: null });
     const world: WorkerWorld = {
       now: () => this.now(),
-      spec: (job) => this.specs.get(job),
+      // As its worker fetches it, whoever submitted the job.
+      spec: (job) => this.specs.get(job) ?? readActive(this.state.value(activeKey(job)))?.spec,
       nodes: this.nodes,
       reportUs: REPORT_S * SECOND,
       leaseUs: LEASE_S * SECOND,
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -853,6 +853,11 @@
     this.state.put(key, value);
   }
 
+  /** Removes a key as an operator's tool would. */
+  remove(key: string): void {
+    this.state.apply({ kind: 'txn', conditions: [], writes: [{ kind: 'delete', key }] });
+  }
+
   /** Keys under a prefix. */
   keys(prefix: string): string[] {
     return this.state.keys(prefix);
--- a/packages/kube/src/api.ts
+++ b/packages/kube/src/api.ts
@@ -10,7 +10,14 @@
 
 /** Which namespaces are the client's, and so their teams, is settled before. */
 export type KubeRequest =
-  | { readonly verb: 'create'; readonly namespace: string; readonly team: string; readonly manifest: unknown }
+  | {
+      readonly verb: 'create';
+      readonly namespace: string;
+      /** Of the namespace; never from the client. */
+      readonly team: string;
+      /** The manifest as it came, JSON or YAML. */
+      readonly text: string;
+    }
   | { readonly verb: 'get'; readonly namespace: string; readonly name: string }
   | {
       readonly verb: 'list';
@@ -42,12 +49,17 @@
 
 /** The published reasons that are used here. */
 export type StatusReason =
+  | 'Unauthorized'
+  | 'Forbidden'
   | 'Invalid'
   | 'AlreadyExists'
   | 'NotFound'
   | 'Conflict'
   | 'Expired'
   | 'BadRequest'
+  | 'UnsupportedMediaType'
+  | 'MethodNotAllowed'
+  | 'RequestEntityTooLarge'
   | 'ServiceUnavailable'
   | 'TooManyRequests';
 
@@ -76,8 +88,6 @@
       readonly object: Json;
       readonly version: number;
     }
-  /** The watch ends; the client begins another one. */
-  | { readonly kind: 'end' }
   | { readonly kind: 'deleted'; readonly object: Json }
   | Refusal;
 
--- a/packages/kube/src/check.ts
+++ b/packages/kube/src/check.ts
@@ -3,6 +3,7 @@
 import { isMap, isScalar, LineCounter, parseAllDocuments, type Document } from 'yaml';
 import { mapManifest, type Mapped, type MappedDeployment, type MappedJob, type Work } from './mapping.js';
 import { textOf, type Path } from './problems.js';
+import { isTooDeep } from './text.js';
 
 /** As for native submissions: a request's body is 64 KiB at most. */
 export const MOST_BYTES = 64 * 1024;
@@ -92,6 +93,7 @@
   const add = (offset: number, say: string, bad: boolean): void => {
     out.push({ line: counter.linePos(offset).line, text: say, bad });
   };
+  if (isTooDeep(text)) return [{ line: 1, text: 'nests deeper than anything that is served', bad: true }];
   const docs = parseAllDocuments(text, { lineCounter: counter });
   if (!Array.isArray(docs) || docs.length === 0) return [{ line: 1, text: 'holds no object', bad: true }];
   if (docs.length > MOST_DOCUMENTS)
--- a/packages/kube/src/feature.ts
+++ b/packages/kube/src/feature.ts
@@ -3,26 +3,27 @@
 import type { Term } from '@shaleyoke/core/term';
 import { Front, FEATURE } from './front.js';
 import { Keeper } from './keeper.js';
+import type { KubeSettings } from './settings.js';
 
 export class Kube implements Feature {
   readonly name = FEATURE;
   private front: Front | null = null;
   private links: NodeLinks | null = null;
 
-  /** `random`: 16 bytes that nobody can guess, for each call; `changesPerS`: what status may take, on average. */
+  /** `random`: 16 bytes that nobody can guess, for each call. */
   constructor(
     private readonly random: () => Uint8Array,
-    private readonly changesPerS: number,
+    private readonly settings: KubeSettings,
   ) {}
 
   serve(links: NodeLinks): NodePart {
     this.links = links;
-    this.front = new Front(links, this.random);
+    this.front = new Front(links, this.random, this.settings.tenants);
     return this.front;
   }
 
   begin(term: Term): FeatureTerm {
     if (this.front === null || this.links === null) throw new Error('begin comes after serve');
-    return new Keeper(term, this.links, this.front.follow, this.changesPerS);
+    return new Keeper(term, this.links, this.front.follow, this.settings.statusChangesPerS);
   }
 }
--- a/packages/kube/src/follow.ts
+++ b/packages/kube/src/follow.ts
@@ -8,8 +8,10 @@
 import { ROOT } from './records.js';
 import { View, type Change } from './view.js';
 
-/** Questions that come within this time share one request. */
+/** Questions that come within this time share one request, or for longer where requests are scarce. */
 const GATHER: Micros = 5 * MILLI;
+/** Share of all requests that one node's questions may take, whoever asks how often. */
+const SHARE = 0.06;
 const POLL_MS = 20_000;
 const PAGE = 500;
 const RETRY: Micros = 500 * MILLI;
@@ -23,12 +25,15 @@
   private gathering = false;
   private watchers = 0;
   private polling = false;
+  private readonly gatherUs: Micros;
 
   constructor(
     private readonly ctx: Context,
     /** Told of changes in their order; `lost` where some may be missing, and every watch has to end. */
     private readonly host: { changed(changes: readonly Change[]): void; lost(): void },
-  ) {}
+  ) {
+    this.gatherUs = Math.max(GATHER, Math.round(SECOND / (SHARE * ctx.settings.stateRps)));
+  }
 
   /** `then(true)`: the view is no older than this call. `then(false)`: the state service does not answer. */
   sync(then: (ok: boolean) => void): void {
@@ -39,7 +44,7 @@
   private gather(): void {
     if (this.gathering || this.asking) return;
     this.gathering = true;
-    this.ctx.after(GATHER, () => {
+    this.ctx.after(this.gatherUs, () => {
       this.gathering = false;
       this.ask();
     });
--- a/packages/kube/src/front.ts
+++ b/packages/kube/src/front.ts
@@ -6,6 +6,7 @@
 import { objectRoom } from './limits.js';
 import type { Condition, InnerAnswer, JobSpec, Write } from '@shaleyoke/core/model';
 import type { NodeLinks, NodePart } from '@shaleyoke/core/ports';
+import { allow, tenantOf, type Credentials } from './access.js';
 import { refuse, type KubeAnswer, type KubeRequest, type Refusal } from './api.js';
 import { Deletion } from './deletion.js';
 import { Follow } from './follow.js';
@@ -14,6 +15,8 @@
 import { textOf, type Problem } from './problems.js';
 import { manifestKey, newStatus, objectKey, piecesOf, type ObjectRecord } from './records.js';
 import { jobOf } from './render.js';
+import type { Tenant } from './settings.js';
+import { readText } from './text.js';
 import { Lists } from './lists.js';
 import type { KubeObject } from './view.js';
 import { Watches } from './watches.js';
@@ -25,6 +28,12 @@
 
 export const FEATURE = 'kube';
 
+/** What a client asks, and what it shows of itself. */
+export interface KubeAsk {
+  readonly who: Credentials;
+  readonly ask: KubeRequest;
+}
+
 const invalid = (name: string, causes: readonly Problem[]): Refusal =>
   refuse(422, 'Invalid', `Job.batch "${name}" is invalid: ${causes.map(textOf).join('; ')}`, causes);
 const unavailable = (problem: string): Refusal => refuse(503, 'ServiceUnavailable', problem);
@@ -40,6 +49,7 @@
   constructor(
     private readonly links: NodeLinks,
     private readonly random: () => Uint8Array,
+    private readonly tenants: ReadonlyMap<string, Tenant>,
   ) {
     this.follow = new Follow(links.ctx, {
       changed: (changes) => {
@@ -61,24 +71,48 @@
   }
 
   asked(request: number, body: unknown): void {
-    const r = body as KubeRequest;
-    if (r.verb === 'unwatch') {
-      this.watches.end(r.watch);
-      return;
-    }
-    if (r.verb === 'create') {
-      this.create(request, r);
+    const { who, ask } = body as KubeAsk;
+    if (ask.verb === 'unwatch') {
+      this.watches.end(ask.watch);
+      this.links.ctx.emit({ kind: 'answerAsked', feature: FEATURE, request, answer: null, last: true });
       return;
     }
+    // Tokens are as new as objects: one that is revoked opens nothing on any node from then on.
     this.follow.sync((ok) => {
-      if (!ok) this.answer(request, unavailable('state service not answering'));
-      else if (r.verb === 'get') this.get(request, r.namespace, r.name);
-      else if (r.verb === 'list') this.answer(request, this.lists.answer(r));
-      else if (r.verb === 'watch') this.watches.begin(request, r);
-      else this.remove(request, r);
+      if (!ok) {
+        this.answer(request, unavailable('state service not answering'));
+        return;
+      }
+      const tenant = tenantOf(who, this.follow.view.tokens, this.tenants);
+      const r = 'kind' in tenant ? tenant : allow(ask, tenant);
+      if ('kind' in r) this.answer(request, r);
+      else this.serve(request, r);
     });
   }
 
+  /** The view is no older than the request, and the client may ask for that. */
+  private serve(request: number, r: KubeRequest): void {
+    switch (r.verb) {
+      case 'get':
+        this.get(request, r.namespace, r.name);
+        return;
+      case 'list':
+        this.answer(request, this.lists.answer(r));
+        return;
+      case 'watch':
+        this.watches.begin(request, r);
+        return;
+      case 'create':
+        this.create(request, r);
+        return;
+      case 'delete':
+        this.remove(request, r);
+        return;
+      case 'unwatch':
+        return;
+    }
+  }
+
   private get(request: number, namespace: string, name: string): void {
     const o = this.follow.view.get(objectKey(namespace, name));
     this.answer(request, o === null ? notFound(name) : { kind: 'object', created: false, object: jobOf(o) });
@@ -87,9 +121,14 @@
   // ---- creation ----------------------------------------------------------------------------------------
 
   private create(request: number, r: KubeRequest & { verb: 'create' }): void {
-    const mapped = mapManifest(r.manifest);
+    const parsed = readText(r.text);
+    if ('problem' in parsed) {
+      this.answer(request, refuse(400, 'BadRequest', `the body can't be read: ${parsed.problem}`));
+      return;
+    }
+    const mapped = mapManifest(parsed.value);
     if (Either.isLeft(mapped)) {
-      this.answer(request, invalid(nameIn(r.manifest), mapped.left));
+      this.answer(request, invalid(nameIn(parsed.value), mapped.left));
       return;
     }
     const m = mapped.right;
@@ -98,11 +137,7 @@
       this.answer(request, invalid(m.manifest.metadata.name, wrong === null ? [] : [wrong]));
       return;
     }
-    // A name that is taken is told at once, and awaited Jobs are looked up as of now.
-    this.follow.sync((ok) => {
-      if (!ok) this.answer(request, unavailable('state service not answering'));
-      else this.admit(request, r, m);
-    });
+    this.admit(request, r, m);
   }
 
   private admit(request: number, r: KubeRequest & { verb: 'create' }, m: MappedJob): void {
@@ -253,7 +288,11 @@
       return;
     }
     this.deletion.begin(o, (marked) => {
-      if (marked === 'changed') this.asked(request, r);
+      if (marked === 'changed')
+        this.follow.sync((ok) => {
+          if (ok) this.remove(request, r);
+          else this.answer(request, unavailable('state service not answering'));
+        });
       else if (marked === 'failed') this.answer(request, unavailable('state service not answering'));
       else {
         // From here on it is sure; a node that dies now leaves the rest to the leader.
--- a/packages/kube/src/plugin.ts
+++ b/packages/kube/src/plugin.ts
@@ -1,2 +1,32 @@
-/** What the program loads when one of these commands is called: a bundle of its own. */
+/** What the program loads when the front is switched on, or one of its commands is called: a bundle of its own. */
+import { randomBytes } from 'node:crypto';
+import type { Team } from '@shaleyoke/core/model';
+import type { Feature } from '@shaleyoke/core/ports';
+import type { KubeAnswer } from './api.js';
+import { Kube } from './feature.js';
+import { FEATURE, type KubeAsk } from './front.js';
+import { listen } from './server.js';
+import { parseKube } from './settings.js';
+
 export { register, type Host } from './commands.js';
+export { KubeSettingsError } from './settings.js';
+
+type AskFeature = (feature: string, body: unknown, told: (answer: unknown, last: boolean) => void) => number;
+
+/** `yaml`: the operators' file; `what`: its name, for messages. Throws `KubeSettingsError`. */
+export const switchOn = (
+  yaml: string,
+  teams: readonly Team[],
+  what: string,
+): { feature: Feature; listener: (ask: AskFeature) => Promise<{ readonly close: () => void }> } => {
+  const settings = parseKube(yaml, teams, what);
+  return {
+    feature: new Kube(() => randomBytes(16), settings),
+    listener: (ask) =>
+      listen(settings, (body: KubeAsk, told) =>
+        ask(FEATURE, body, (answer, last) => {
+          told(answer as KubeAnswer, last);
+        }),
+      ),
+  };
+};
--- a/packages/kube/src/view.ts
+++ b/packages/kube/src/view.ts
@@ -6,6 +6,7 @@
 import { Order, RedBlackTree } from 'effect';
 import type { Item, StateEvent } from '@shaleyoke/core/model';
 import { MANIFESTS, nameOf, OBJECTS, readObject, readPiece, type ObjectRecord } from './records.js';
+import { readToken, TOKENS, type TokenRecord } from './tokens.js';
 
 export interface KubeObject {
   readonly key: string;
@@ -37,6 +38,8 @@
   logFrom = -1;
   private log: Change[] = [];
   private readonly pieces = new Map<string, string>();
+  /** By id. */
+  readonly tokens = new Map<string, TokenRecord>();
   /** Records that can't be read, by key. */
   readonly unreadable = new Set<string>();
 
@@ -44,9 +47,10 @@
   reset(items: readonly Item[], from: number): void {
     this.objects = RedBlackTree.empty<string, KubeObject>(Order.string);
     this.pieces.clear();
+    this.tokens.clear();
     this.unreadable.clear();
     this.log = [];
-    for (const it of items) if (it.key.startsWith(MANIFESTS)) this.putPiece(it.key, it.value);
+    for (const it of items) this.putOther(it.key, it.value);
     for (const it of items) this.put(it.key, it.value, it.version);
     this.at = from;
     this.logFrom = from;
@@ -58,9 +62,18 @@
     this.logFrom = this.at;
   }
 
-  private putPiece(key: string, value: unknown): void {
-    const piece = readPiece(value);
-    if (piece !== null) this.pieces.set(key.slice(MANIFESTS.length), piece.text);
+  /** Pieces of manifests, and tokens. */
+  private putOther(key: string, value: unknown): void {
+    if (key.startsWith(MANIFESTS)) {
+      const piece = readPiece(value);
+      if (piece !== null) this.pieces.set(key.slice(MANIFESTS.length), piece.text);
+    } else if (key.startsWith(TOKENS)) {
+      const id = key.slice(TOKENS.length);
+      const token = readToken(value);
+      // One that can't be read opens nothing.
+      if (token === null) this.tokens.delete(id);
+      else this.tokens.set(id, token);
+    }
   }
 
   get count(): number {
@@ -109,7 +122,7 @@
   apply(events: readonly StateEvent[], revision: number): Change[] {
     const fresh = events.filter((e) => e.version > this.at);
     // An object and its manifest come in one transaction, in any order within it.
-    for (const e of fresh) if (e.kind === 'put' && e.key.startsWith(MANIFESTS)) this.putPiece(e.key, e.value);
+    for (const e of fresh) if (e.kind === 'put') this.putOther(e.key, e.value);
     const changes: Change[] = [];
     for (const e of fresh) {
       const before = this.get(e.key);
@@ -120,6 +133,7 @@
       }
       this.unreadable.delete(e.key);
       if (e.key.startsWith(MANIFESTS)) this.pieces.delete(e.key.slice(MANIFESTS.length));
+      if (e.key.startsWith(TOKENS)) this.tokens.delete(e.key.slice(TOKENS.length));
       if (before === null) continue;
       this.objects = RedBlackTree.removeFirst(this.objects, e.key);
       changes.push({ version: e.version, before, after: null });
--- /dev/null
+++ b/packages/kube/test/loopback.test.ts
@@ -0,0 +1,334 @@
+/**
+ * Conformance of the declared subset: real controllers on loopback, driven by the registry's client library and by raw
+ * requests. What is compared is what must be the same each time; nothing rests on how fast this machine is.
+ */
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import * as http from 'node:http';
+import { after, before, test } from 'node:test';
+import { promisify } from 'node:util';
+import { BatchV1Api, KubeConfig, makeInformer, type V1Job } from '@kubernetes/client-node';
+import { SECOND, type MachineType } from '@shaleyoke/core/model';
+import { Loopback } from '@shaleyoke/emulator/loopback';
+
+const MAIN = new URL('../../shaleyoke/src/main.ts', import.meta.url).pathname;
+const PROGRAM = [process.execPath, '--import', 'tsx', MAIN];
+const BOX: MachineType = {
+  name: 'box',
+  cores: 8,
+  gpus: 0,
+  memoryGb: 32,
+  cacheGb: 50,
+  fetchGbPerS: 10,
+  price: 1,
+  spotPrice: 0.4,
+  bootUs: 2 * SECOND,
+  zones: ['zone-a', 'zone-b'],
+};
+
+const l = new Loopback({
+  program: PROGRAM,
+  nodes: 3,
+  teams: ['t', 'u'],
+  types: [BOX],
+  perZone: 3,
+  budgets: null,
+  kube: (port) =>
+    `version: 1\nlisten: 127.0.0.1:${port}\nsockets: 20\nstatus_changes_per_s: 5\ntenants:\n` +
+    '  maps: { namespaces: { maps: t }, addresses: [127.0.0.0/8] }\n  others: { namespaces: { theirs: u } }\n',
+  log: null,
+});
+const tokens = { maps: '', others: '' };
+
+const tool = async (...args: string[]): Promise<{ code: number; out: string }> => {
+  const [program, ...first] = PROGRAM;
+  try {
+    const r = await promisify(execFile)(program!, [...first, ...args]);
+    return { code: 0, out: r.stdout };
+  } catch (e) {
+    const x = e as { code: number; stdout: string; stderr: string };
+    return { code: x.code, out: x.stdout + x.stderr };
+  }
+};
+const until = async (what: string, holds: () => boolean | Promise<boolean>): Promise<void> => {
+  for (let k = 0; k < 240; k++) {
+    if (await holds()) return;
+    await new Promise((done) => setTimeout(done, 250));
+  }
+  assert.fail(`a minute passed, and never: ${what}`);
+};
+
+const configOf = (node: number, token: string): KubeConfig => {
+  const kc = new KubeConfig();
+  kc.loadFromOptions({
+    clusters: [{ name: 'c', server: `http://${l.nodes[node]!.kube}`, skipTLSVerify: true }],
+    users: [{ name: 'u', token }],
+    contexts: [{ name: 'x', cluster: 'c', user: 'u' }],
+    currentContext: 'x',
+  });
+  return kc;
+};
+const api = (node: number, token = tokens.maps): BatchV1Api =>
+  configOf(node, token).makeApiClient(BatchV1Api);
+
+const jobOf = (name: string, more: Partial<NonNullable<V1Job['spec']>> = {}): V1Job => ({
+  apiVersion: 'batch/v1',
+  kind: 'Job',
+  metadata: { name, labels: { app: 'tiles' }, annotations: { 'shaleyoke/estimate': '2' } },
+  spec: {
+    completions: 2,
+    parallelism: 2,
+    ...more,
+    template: {
+      spec: {
+        restartPolicy: 'Never',
+        containers: [{ name: 'm', image: 'img', resources: { requests: { cpu: '500m', memory: '512Mi' } } }],
+      },
+    },
+  },
+});
+
+interface Reply {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+const raw = (
+  method: string,
+  path: string,
+  body = '',
+  headers: http.OutgoingHttpHeaders = {},
+  node = 0,
+): Promise<Reply> =>
+  new Promise((resolve, reject) => {
+    const [host, port] = l.nodes[node]!.kube.split(':');
+    const req = http.request(
+      {
+        host,
+        port,
+        method,
+        path,
+        agent: false,
+        headers: { Authorization: `Bearer ${tokens.maps}`, 'Content-Type': 'application/json', ...headers },
+      },
+      (res) => {
+        let text = '';
+        res.on('data', (c: Buffer) => (text += c.toString()));
+        res.on('end', () => {
+          resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text });
+        });
+        res.on('error', reject);
+      },
+    );
+    req.on('error', reject);
+    req.end(body);
+  });
+const JOBS = '/apis/batch/v1/namespaces/maps/jobs';
+const codeOf = async (what: Promise<unknown>): Promise<number> => {
+  try {
+    await what;
+    return 200;
+  } catch (e) {
+    return (e as { code?: number }).code ?? -1;
+  }
+};
+
+before(async () => {
+  await l.start();
+  await until('somebody leads', () => l.leader() !== null);
+  const files = (node: number): string[] => [
+    '--config',
+    l.nodes[node]!.config,
+    '--kube',
+    l.kubeFile(l.nodes[node]!.member),
+  ];
+  for (const tenant of ['maps', 'others'] as const) {
+    const r = await tool(
+      'kube',
+      'token',
+      'create',
+      ...files(0),
+      '--tenant',
+      tenant,
+      '--by',
+      'ada',
+      '--why',
+      'tests',
+    );
+    assert.equal(r.code, 0, r.out);
+    assert.match(r.out, /^CREATED token [0-9a-f]{16} for /);
+    tokens[tenant] = r.out.trim().split('\n').at(-1)!;
+  }
+  const none = await tool(
+    'kube',
+    'token',
+    'create',
+    ...files(0),
+    '--tenant',
+    'x',
+    '--by',
+    'ada',
+    '--why',
+    'y',
+  );
+  assert.deepEqual([none.code, /--tenant: x is none of .*maps, others/.test(none.out)], [2, true], none.out);
+  await until('each node answers', async () => {
+    for (const n of [0, 1, 2])
+      if ((await codeOf(api(n).listNamespacedJob({ namespace: 'maps' }))) !== 200) return false;
+    return true;
+  });
+});
+after(() => l.stop());
+
+test('discovery tells what is served, to anybody', async () => {
+  const groups = JSON.parse((await raw('GET', '/apis?timeout=32s', '', { Authorization: '' })).body) as {
+    groups: { name: string }[];
+  };
+  assert.deepEqual(
+    groups.groups.map((g) => g.name),
+    ['batch'],
+  );
+  const resources = JSON.parse((await raw('GET', '/apis/batch/v1')).body) as {
+    resources: { name: string; verbs: string[] }[];
+  };
+  assert.deepEqual(
+    resources.resources.map((r) => r.name),
+    ['jobs'],
+  );
+  assert.equal((await raw('GET', '/version')).status, 200);
+  assert.equal((await raw('GET', '/apis/apps/v1')).status, 404);
+});
+
+test('a Job lives through the client library: created, listed, read, complete, deleted, by any node', async () => {
+  const made = await api(0).createNamespacedJob({ namespace: 'maps', body: jobOf('tiles') });
+  assert.equal(made.metadata?.namespace, 'maps');
+  assert.equal(made.spec?.completionMode, 'NonIndexed');
+  assert.equal(await codeOf(api(1).createNamespacedJob({ namespace: 'maps', body: jobOf('tiles') })), 409);
+  const read = await api(1).readNamespacedJob({ namespace: 'maps', name: 'tiles' });
+  assert.equal(read.metadata?.uid, made.metadata?.uid);
+  const plain = (j: V1Job): unknown => JSON.parse(JSON.stringify(j.spec?.template.spec?.containers));
+  assert.deepEqual(plain(read), plain(jobOf('tiles')));
+  const label = await api(2).listNamespacedJob({ namespace: 'maps', labelSelector: 'app=tiles' });
+  assert.equal(label.items.length, 1);
+  const none = await api(2).listNamespacedJob({ namespace: 'maps', labelSelector: 'app=none' });
+  assert.equal(none.items.length, 0);
+  await until('it is complete', async () => {
+    const j = await api(2).readNamespacedJob({ namespace: 'maps', name: 'tiles' });
+    return j.status?.conditions?.some((c) => c.type === 'Complete' && c.status === 'True') === true;
+  });
+  const done = await api(0).readNamespacedJob({ namespace: 'maps', name: 'tiles' });
+  assert.equal(done.status?.succeeded, 2);
+  assert.ok(done.status?.completionTime instanceof Date);
+  await api(1).deleteNamespacedJob({ namespace: 'maps', name: 'tiles' });
+  assert.equal(await codeOf(api(2).readNamespacedJob({ namespace: 'maps', name: 'tiles' })), 404);
+});
+
+test('another tenant, a wrong token and another namespace are told apart as published, and learn nothing', async () => {
+  await api(0).createNamespacedJob({ namespace: 'maps', body: jobOf('mine') });
+  for (const name of ['mine', 'nobodys'])
+    assert.equal(await codeOf(api(1, tokens.others).readNamespacedJob({ namespace: 'maps', name })), 403);
+  assert.equal(
+    await codeOf(api(1, tokens.others).createNamespacedJob({ namespace: 'maps', body: jobOf('x') })),
+    403,
+  );
+  assert.equal((await api(1, tokens.others).listJobForAllNamespaces()).items.length, 0);
+  assert.equal(await codeOf(api(1, 'no.token').listNamespacedJob({ namespace: 'maps' })), 401);
+  assert.equal((await raw('GET', JOBS, '', { Authorization: 'Basic eDp5' })).status, 401);
+  await api(2).deleteNamespacedJob({ namespace: 'maps', name: 'mine', propagationPolicy: 'Background' });
+});
+
+test('what is wrong with a request is said as a Status, each field by its name', async () => {
+  const bad = jobOf('bad', { backoffLimit: 3 });
+  const r = await raw('POST', JOBS, JSON.stringify(bad));
+  const status = JSON.parse(r.body) as {
+    kind: string;
+    reason: string;
+    details: { causes: { field: string; reason: string }[] };
+  };
+  assert.deepEqual([r.status, status.kind, status.reason], [422, 'Status', 'Invalid']);
+  assert.deepEqual(
+    status.details.causes.map((c) => `${c.field} ${c.reason}`),
+    ['spec.backoffLimit FieldValueForbidden'],
+  );
+  // Asking for leniency does not change what can be honoured.
+  assert.equal((await raw('POST', `${JOBS}?fieldValidation=Ignore`, JSON.stringify(bad))).status, 422);
+  const code = async (...a: Parameters<typeof raw>): Promise<number> => (await raw(...a)).status;
+  const good = JSON.stringify(jobOf('good'));
+  assert.equal(await code('POST', JOBS, '{'), 400);
+  assert.equal(await code('POST', JOBS, good.replace('{', '{"kind":"Job",')), 400);
+  assert.equal(await code('POST', JOBS, '['.repeat(30_000)), 400);
+  assert.equal(await code('POST', JOBS, '{"a":'.repeat(5_000) + '1' + '}'.repeat(5_000)), 400);
+  assert.equal(await code('POST', JOBS, ' '.repeat(70_000)), 413);
+  assert.equal(
+    await code('POST', JOBS, good, { 'Content-Type': 'application/vnd.kubernetes.protobuf' }),
+    415,
+  );
+  assert.equal(await code('POST', `${JOBS}?dryRun=All`, good), 400);
+  assert.equal(await code('PUT', `${JOBS}/good`, good), 405);
+  assert.equal(await code('GET', `${JOBS}?labelSelector=app+in+(a,b)`), 400);
+  assert.equal(await code('GET', `${JOBS}?limit=x`), 400);
+  assert.equal(await code('DELETE', `${JOBS}/good?propagationPolicy=Orphan`), 400);
+  assert.equal(await code('GET', JOBS, '', { 'X-Long': 'x'.repeat(20_000) }), 400);
+  assert.equal(await code('GET', '/api/v1/namespaces/maps/pods'), 404);
+  assert.deepEqual((await api(0).listNamespacedJob({ namespace: 'maps' })).items, []);
+  const yaml =
+    'apiVersion: batch/v1\nkind: Job\nmetadata: { name: from-yaml }\nspec:\n  template:\n    spec:\n      restartPolicy: Never\n      containers: [{ name: m, image: i, resources: { limits: { cpu: 1, memory: 1G } } }]\n';
+  assert.equal(await code('POST', JOBS, yaml, { 'Content-Type': 'application/yaml' }), 201);
+  assert.equal(await code('DELETE', `${JOBS}/from-yaml`), 200);
+});
+
+test('an informer of the library runs through a killed controller and a stalled state service', async () => {
+  const seen = new Map<string, string>();
+  const log: string[] = [];
+  let node = 0;
+  let stop = (): void => undefined;
+  const begin = (): void => {
+    const kc = configOf(node, tokens.maps);
+    const list = () => kc.makeApiClient(BatchV1Api).listNamespacedJob({ namespace: 'maps' });
+    const informer = makeInformer(kc, JOBS, list);
+    let over = false;
+    const note = (what: string) => (j: V1Job) => {
+      const name = j.metadata?.name ?? '';
+      log.push(`${what} ${name}`);
+      if (what === 'delete') seen.delete(name);
+      else seen.set(name, j.status?.conditions?.find((c) => c.status === 'True')?.type ?? 'open');
+    };
+    for (const what of ['add', 'update', 'delete'] as const) informer.on(what, note(what));
+    const again = (e?: unknown): void => {
+      log.push(String(e));
+      if (over) return;
+      over = true;
+      void informer.stop();
+      node = (node + 1) % 3;
+      setTimeout(begin, 300);
+    };
+    informer.on('error', again);
+    stop = () => {
+      over = true;
+      void informer.stop();
+    };
+    informer.start().catch(again);
+  };
+  begin();
+  try {
+    for (let k = 0; k < 3; k++)
+      await api(1).createNamespacedJob({ namespace: 'maps', body: jobOf(`run-${k}`) });
+    await until('all three are seen', () => seen.size === 3);
+    l.crash(node, 1_500);
+    l.state.outage(3 * SECOND);
+    const other = (node + 1) % 3;
+    await until('one more is taken', async () => {
+      const c = await codeOf(api(other).createNamespacedJob({ namespace: 'maps', body: jobOf('later') }));
+      // A create whose answer was lost has been carried out: 409 says so.
+      return c === 200 || c === 409;
+    });
+    await until('all four are seen complete', () =>
+      ['run-0', 'run-1', 'run-2', 'later'].every((n) => seen.get(n) === 'Complete'),
+    );
+    await api(other).deleteNamespacedJob({ namespace: 'maps', name: 'run-1' });
+    await until('one is seen to go', () => !seen.has('run-1') && seen.size === 3);
+  } finally {
+    stop();
+  }
+  assert.ok(log.length > 7, log.join());
+});
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -116,10 +116,11 @@
   }
 
   /** A feature's client asks; `told` is called for each answer, until the last. */
-  askFeature(feature: string, body: unknown, told: (answer: unknown, last: boolean) => void): void {
+  askFeature(feature: string, body: unknown, told: (answer: unknown, last: boolean) => void): number {
     const request = this.nextRequest++;
     this.asking.set(request, told);
     this.feed({ kind: 'asked', feature, request, body, wallUs: wallNow() });
+    return request;
   }
 
   onPublic(method: string, url: string, body: Buffer, answer: (o: Outgoing) => void): void {
@@ -180,10 +181,21 @@
 /** Sockets kept for calls to workers, peers, cloud and state service. */
 const OUTGOING_SHARE = 0.25;
 
-/** `features`: what is switched on beside the scheduler itself. */
+/** Puts a client's question to a feature of the core; returns its number. `told` is called until the last answer. */
+export type AskFeature = (
+  feature: string,
+  body: unknown,
+  told: (answer: unknown, last: boolean) => void,
+) => number;
+
+/** A feature's own listener; it is handed the way to the core. */
+export type FeatureListener = (ask: AskFeature) => Promise<{ readonly close: () => void }>;
+
+/** `features`: what is switched on beside the scheduler itself; `listeners`: where their clients come in. */
 export const runNode = (
   settings: Settings,
   features: readonly Feature[] = [],
+  listeners: readonly FeatureListener[] = [],
 ): Effect.Effect<never, Error, Clients | Log | Scope.Scope> =>
   Effect.gen(function* () {
     const clients = yield* Clients;
@@ -206,6 +218,14 @@
     yield* listen(settings.peerListen, 0, (r, answer) => {
       node.onPeer(r.url, r.body, answer);
     });
+    for (const listener of listeners)
+      yield* Effect.acquireRelease(
+        Effect.tryPromise({
+          try: () => listener((feature, body, told) => node.askFeature(feature, body, told)),
+          catch: (e) => e as Error,
+        }),
+        (open) => Effect.sync(open.close),
+      );
     log.write('info', 'node.started', { listen: settings.listen, upS: process.uptime() });
     node.start();
     return yield* Effect.never;
--- a/packages/shaleyoke/src/main.ts
+++ b/packages/shaleyoke/src/main.ts
@@ -7,13 +7,14 @@
 import { JOBS, LEAD, ROSTER } from '@shaleyoke/core/keys';
 import { Clients, ClientsLive } from '@shaleyoke/runtime/clients';
 import { logLevel, LogLive } from '@shaleyoke/runtime/log';
-import { runNode } from '@shaleyoke/runtime/node';
+import { runNode, type FeatureListener } from '@shaleyoke/runtime/node';
 import { parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
 
 interface FileOptions {
   readonly config: string;
   readonly operators?: string;
   readonly budgets?: string;
+  readonly kube?: string;
 }
 
 const EXIT_USAGE = 2;
@@ -35,7 +36,21 @@
 const budgetsPlugin = (): Promise<typeof import('@shaleyoke/budgets/plugin')> =>
   import('@shaleyoke/budgets/plugin');
 
-const featuresOf = async (o: FileOptions, settings: Settings): Promise<Feature[]> => {
+const kubePlugin = (): Promise<typeof import('@shaleyoke/kube/plugin')> => import('@shaleyoke/kube/plugin');
+
+const kubeOf = async (
+  file: string,
+  settings: Settings,
+): Promise<{ feature: Feature; listener: FeatureListener }> => {
+  const { switchOn, KubeSettingsError } = await kubePlugin();
+  try {
+    return switchOn(text(file), settings.teams, file);
+  } catch (e) {
+    throw e instanceof KubeSettingsError ? new SettingsError(e.message) : e;
+  }
+};
+
+const budgetsOf = async (o: FileOptions, settings: Settings): Promise<Feature[]> => {
   if (o.budgets === undefined) return [];
   const { Budgets, BudgetSettingsError, parseBudgets } = await budgetsPlugin();
   try {
@@ -53,8 +68,11 @@
     throw new SettingsError(`LOG_LEVEL: expected error, info or debug, not ${JSON.stringify(wanted)}`);
   const layers = Layer.merge(LogLive(settings.member, level), ClientsLive(settings));
   // Without features nothing is awaited: a start is as it was.
-  const features = o.budgets === undefined ? [] : await featuresOf(o, settings);
-  Effect.runPromise(Effect.scoped(runNode(settings, features)).pipe(Effect.provide(layers))).catch(
+  const features = o.budgets === undefined ? [] : await budgetsOf(o, settings);
+  const kube = o.kube === undefined ? null : await kubeOf(o.kube, settings);
+  if (kube !== null) features.push(kube.feature);
+  const listeners = kube === null ? [] : [kube.listener];
+  Effect.runPromise(Effect.scoped(runNode(settings, features, listeners)).pipe(Effect.provide(layers))).catch(
     (e: unknown) => {
       console.error(String(e));
       process.exit(EXIT_FAILED);
@@ -103,6 +121,7 @@
 
 withFiles('serve', 'run one controller until it is killed')
   .option('--budgets <file>', 'charge jobs to owners and hold to limits (YAML)')
+  .option('--kube <file>', 'take Kubernetes Jobs on a listener of their own (YAML)')
   .action(serve);
 withFiles('check-config', 'check the settings and print them as understood').action((o: FileOptions) => {
   console.log(JSON.stringify(load(o), null, 2));
@@ -152,7 +171,11 @@
 };
 
 /** The state service for tools, each call as a promise. */
-const toolService = (settings: Settings): import('@shaleyoke/budgets/plugin').Service => {
+const toolService = (
+  settings: Settings,
+): import('@shaleyoke/budgets/plugin').Service & {
+  remove(key: string, version: number): Promise<boolean>;
+} => {
   const layer = ClientsLive(settings);
   const clients = Effect.runSync(Effect.provide(Clients, layer));
   const call = async (op: StateOp): Promise<StateReply> => {
@@ -184,6 +207,14 @@
       if (r.kind === 'refused') throw new Error(`the state service refused the change: ${r.reason}`);
       return r.kind === 'ok';
     },
+    remove: async (key, version) => {
+      const r = await call({
+        kind: 'txn',
+        conditions: [{ key, version }],
+        writes: [{ kind: 'delete', key }],
+      });
+      return r.kind === 'ok';
+    },
   };
 };
 
@@ -202,8 +233,8 @@
   const first = process.argv[2];
   const help = first === undefined || HELP.has(first);
   if (help || first === 'kube') {
-    const { register } = await import('@shaleyoke/kube/plugin');
-    register(program, { print, end });
+    const { register } = await kubePlugin();
+    register(program, { load, service: toolService, print, now: () => Date.now() * 1000, end });
   }
   if (help || BUDGET_TOOLS.has(first)) {
     const { register } = await budgetsPlugin();
@@ -217,7 +248,7 @@
   }
   await program.parseAsync();
   // Connections to the state service stay open: a tool that is done ends all the same.
-  if (first !== undefined && BUDGET_TOOLS.has(first)) process.exitCode ??= 0;
+  if (first !== undefined && (BUDGET_TOOLS.has(first) || first === 'kube')) process.exitCode ??= 0;
 };
 
 start().catch(fail);
