--- a/packages/protocol/test/formats.test.ts
+++ b/packages/protocol/test/formats.test.ts
@@ -175,3 +175,13 @@
   assert.equal(decodePeer(Buffer.concat([bytes, Buffer.from([1, 2])])), null);
   assert.equal(decodePeer(bytes.subarray(0, 9)), null);
 });
+
+test('bodies that nest as deep as a body can are refused like any other, and end nothing', () => {
+  // A parser that calls itself for each level ended a whole process once (docs/incidents/nested-body.md).
+  const lists = Buffer.concat([Buffer.alloc(65_000, 0x91), Buffer.from([0xc0])]);
+  const maps = Buffer.concat([Buffer.alloc(60_000, Buffer.from([0x81, 0xa1, 0x61])), Buffer.from([0xc0])]);
+  for (const body of [lists, maps]) {
+    const r = decodeSubmission(body);
+    assert.equal(r.kind === 'submit' ? r.spec : 'none', null);
+  }
+});
