--- a/packages/demo/test/loopback.test.ts
+++ b/packages/demo/test/loopback.test.ts
@@ -3,17 +3,16 @@
  * compared is what must be the same each time: ends of jobs, books that balance, and nothing billed twice.
  */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
 import { readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { promisify } from 'node:util';
 import { balanceOf, verifyBooks } from '@shaleyoke/budgets/reader';
 import type { JobSpec } from '@shaleyoke/core/model';
 import { SECOND } from '@shaleyoke/core/model';
 import { booksOf, BOX, budgetsFile, jobOf, until } from '@shaleyoke/demo/demo';
 import { Loopback } from '@shaleyoke/emulator/loopback';
+import { toolOf } from '@shaleyoke/emulator/tool';
 import { Random } from '@shaleyoke/emulator/random';
 
 const MAIN = new URL('../../shaleyoke/src/main.ts', import.meta.url).pathname;
@@ -26,14 +25,7 @@
 /** An end is seen a report late at most, and what lies beyond the usual time between two is not charged. */
 const SEEN_LATE = 8 * SECOND;
 
-const tool = async (...args: string[]): Promise<{ code: number; out: string }> => {
-  const [program, ...first] = PROGRAM;
-  try {
-    const r = await promisify(execFile)(program!, [...first, ...args]);
-    return { code: 0, out: r.stdout };
-  } catch (e) {
-    const x = e as { code: number; stdout: string; stderr: string };
-    return { code: x.code, out: x.stdout + x.stderr };
+const tool = toolOf(PROGRAM);
   }
 };
 
--- a/packages/kube/test/loopback.test.ts
+++ b/packages/kube/test/loopback.test.ts
@@ -3,13 +3,12 @@
  * requests. What is compared is what must be the same each time; nothing rests on how fast this machine is.
  */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
 import * as http from 'node:http';
 import { after, before, test } from 'node:test';
-import { promisify } from 'node:util';
 import { BatchV1Api, KubeConfig, makeInformer, type V1Job } from '@kubernetes/client-node';
 import { SECOND, type MachineType } from '@shaleyoke/core/model';
 import { Loopback } from '@shaleyoke/emulator/loopback';
+import { toolOf } from '@shaleyoke/emulator/tool';
 
 const MAIN = new URL('../../shaleyoke/src/main.ts', import.meta.url).pathname;
 const PROGRAM = [process.execPath, '--import', 'tsx', MAIN];
@@ -40,14 +39,7 @@
 });
 const tokens = { maps: '', others: '' };
 
-const tool = async (...args: string[]): Promise<{ code: number; out: string }> => {
-  const [program, ...first] = PROGRAM;
-  try {
-    const r = await promisify(execFile)(program!, [...first, ...args]);
-    return { code: 0, out: r.stdout };
-  } catch (e) {
-    const x = e as { code: number; stdout: string; stderr: string };
-    return { code: x.code, out: x.stdout + x.stderr };
+const tool = toolOf(PROGRAM);
   }
 };
 const until = async (what: string, holds: () => boolean | Promise<boolean>): Promise<void> => {
