--- a/packages/demo/test/loopback.test.ts
+++ b/packages/demo/test/loopback.test.ts
@@ -26,8 +26,6 @@
 const SEEN_LATE = 8 * SECOND;
 
 const tool = toolOf(PROGRAM);
-  }
-};
 
 test('books agree with themselves, and with the machines, after kills and a stalled state service', async (t) => {
   const r = new Random(20_261_201);
--- a/packages/kube/test/loopback.test.ts
+++ b/packages/kube/test/loopback.test.ts
@@ -40,8 +40,6 @@
 const tokens = { maps: '', others: '' };
 
 const tool = toolOf(PROGRAM);
-  }
-};
 const until = async (what: string, holds: () => boolean | Promise<boolean>): Promise<void> => {
   for (let k = 0; k < 240; k++) {
     if (await holds()) return;
