Settings: one check of files and records, which budgets and clients had again

The settings package had a check that names each wrong field of a file; budgets and kube each wrote it again, and a reader of records three times. It stands in checked.ts now, and features may import the settings package. Each keeps an error class of its own, as their bundles are apart. Messages are the same; the tests are unchanged.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -16,8 +16,8 @@
     only('protocol', 'core'),
     only('settings', 'core'),
     only('runtime', 'core', 'protocol'),
-    only('budgets', 'core'),
-    only('kube', 'core'),
+    only('budgets', 'core', 'settings'),
+    only('kube', 'core', 'settings'),
     only('emulator', 'core', 'protocol', 'settings'),
     only('demo', 'core', 'budgets', 'emulator'),
     {
--- a/packages/budgets/src/records.ts
+++ b/packages/budgets/src/records.ts
@@ -1,7 +1,8 @@
 /** What the state service holds of the books (docs/budgets.md). What can't be read is null, never nothing. */
 import { createHash } from 'node:crypto';
 import canonicalize from 'canonicalize';
-import { Either, Schema } from 'effect';
+import { Schema } from 'effect';
+import { reader } from '@shaleyoke/settings/checked';
 import type { Charge } from './books.js';
 
 export const HEAD = 'b/head';
@@ -128,12 +129,6 @@
 });
 export type ClosedRecord = typeof ClosedRecord.Type;
 
-const reader =
-  <A, I>(schema: Schema.Schema<A, I>) =>
-  (value: unknown): A | null => {
-    const r = Schema.decodeUnknownEither(schema)(value);
-    return Either.isRight(r) ? r.right : null;
-  };
 export const readHead = reader(Head);
 export const readOwners = reader(OwnersPage);
 export const readOpen = reader(OpenPage);
--- a/packages/budgets/src/settings.ts
+++ b/packages/budgets/src/settings.ts
@@ -1,7 +1,8 @@
 /** The file that switches budgets on (`deploy/budgets.yaml`), checked against the platform's teams. */
-import { Either, ParseResult, Schema } from 'effect';
+import { Schema } from 'effect';
 import { parse as parseYaml } from 'yaml';
 import type { Team } from '@shaleyoke/core/model';
+import { check, read } from '@shaleyoke/settings/checked';
 import { Calendar, knownZone } from './calendar.js';
 import { parseMoney, type Money } from './money.js';
 
@@ -60,20 +61,8 @@
 
 /** `what`: the file's name, for messages. Throws `BudgetSettingsError` naming each wrong field. */
 export const parseBudgets = (yaml: string, teams: readonly Team[], what: string): BudgetSettings => {
-  let value: unknown;
-  try {
-    value = parseYaml(yaml);
-  } catch (e) {
-    throw new BudgetSettingsError(`${what}: ${(e as Error).message}`);
-  }
-  const r = Schema.decodeUnknownEither(File, { errors: 'all', onExcessProperty: 'error' })(value);
-  if (Either.isLeft(r)) {
-    const lines = ParseResult.ArrayFormatter.formatErrorSync(r.left).map(
-      (e) => `${what}: ${e.path.join('.') || '(whole file)'}: ${e.message}`,
-    );
-    throw new BudgetSettingsError(lines.join('\n'));
-  }
-  const f = r.right;
+  const fail = (message: string): BudgetSettingsError => new BudgetSettingsError(message);
+  const f = check(File, read(parseYaml, yaml, what, fail), what, fail, true);
   const problems: string[] = [];
   const names = teams.map((t) => t.name);
   for (const [name, o] of Object.entries(f.owners)) {
--- a/packages/kube/src/records.ts
+++ b/packages/kube/src/records.ts
@@ -1,5 +1,6 @@
 /** What the state service holds of objects (docs/kube.md). What can't be read is null, never nothing. */
-import { Either, Schema } from 'effect';
+import { Schema } from 'effect';
+import { reader } from '@shaleyoke/settings/checked';
 import { bytesOf } from '@shaleyoke/core/records';
 
 export const ROOT = 'k/';
@@ -55,12 +56,6 @@
 
 const Piece = Schema.Struct({ v: Schema.Literal(1), text: Schema.String });
 
-const reader =
-  <A, I>(schema: Schema.Schema<A, I>) =>
-  (value: unknown): A | null => {
-    const r = Schema.decodeUnknownEither(schema)(value);
-    return Either.isRight(r) ? r.right : null;
-  };
 export const readObject = reader(ObjectRecord);
 export const readPiece = reader(Piece);
 
--- a/packages/kube/src/settings.ts
+++ b/packages/kube/src/settings.ts
@@ -1,8 +1,9 @@
 /** The operators' file that switches the front on (`deploy/kube.yaml`), checked; every error names the field. */
-import { Either, ParseResult, Schema } from 'effect';
+import { Schema } from 'effect';
 import ipaddr from 'ipaddr.js';
 import { parse as parseYaml } from 'yaml';
 import type { Team } from '@shaleyoke/core/model';
+import { check, read } from '@shaleyoke/settings/checked';
 import { isLabel } from './subset.js';
 
 export class KubeSettingsError extends Error {}
@@ -78,20 +79,8 @@
 
 /** `what`: the file's name, for messages. Throws `KubeSettingsError` naming each wrong field. */
 export const parseKube = (yaml: string, teams: readonly Team[], what: string): KubeSettings => {
-  let value: unknown;
-  try {
-    value = parseYaml(yaml);
-  } catch (e) {
-    throw new KubeSettingsError(`${what}: ${(e as Error).message}`);
-  }
-  const r = Schema.decodeUnknownEither(File, { errors: 'all', onExcessProperty: 'error' })(value);
-  if (Either.isLeft(r)) {
-    const lines = ParseResult.ArrayFormatter.formatErrorSync(r.left).map(
-      (e) => `${what}: ${e.path.join('.') || '(whole file)'}: ${e.message}`,
-    );
-    throw new KubeSettingsError(lines.join('\n'));
-  }
-  const f = r.right;
+  const fail = (message: string): KubeSettingsError => new KubeSettingsError(message);
+  const f = check(File, read(parseYaml, yaml, what, fail), what, fail, true);
   const problems: string[] = [];
   const names = teams.map((t) => t.name);
   const cut = f.listen.lastIndexOf(':');
--- a/packages/kube/src/tokens.ts
+++ b/packages/kube/src/tokens.ts
@@ -1,6 +1,7 @@
 /** Bearer tokens: `ID.SECRET`. Only salted hashes are on record, under `k/`, so that every node has them at once. */
 import { createHash, timingSafeEqual } from 'node:crypto';
-import { Either, Schema } from 'effect';
+import { Schema } from 'effect';
+import { reader } from '@shaleyoke/settings/checked';
 
 export const TOKENS = 'k/t/';
 export const tokenKey = (id: string): string => `${TOKENS}${id}`;
@@ -18,10 +19,7 @@
 });
 export type TokenRecord = typeof TokenRecord.Type;
 
-export const readToken = (value: unknown): TokenRecord | null => {
-  const r = Schema.decodeUnknownEither(TokenRecord)(value);
-  return Either.isRight(r) ? r.right : null;
-};
+export const readToken = reader(TokenRecord);
 
 const hashOf = (salt: string, secret: string): Buffer =>
   createHash('sha256').update(Buffer.from(salt, 'hex')).update(secret).digest();
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -1,8 +1,9 @@
 /** The platform's file (TOML) and the operators' own file (YAML), checked into `Settings`. */
-import { Either, Schema, ParseResult } from 'effect';
+import { Schema } from 'effect';
 import { parse as parseToml } from 'smol-toml';
 import { parse as parseYaml } from 'yaml';
 import type { Settings, Tuning } from '@shaleyoke/core/model';
+import { check, read } from './checked.js';
 
 const us = (s: number): number => Math.round(s * 1e6);
 
@@ -99,26 +100,11 @@
 
 export class SettingsError extends Error {}
 
-const check = <A, I>(schema: Schema.Schema<A, I>, value: unknown, what: string): A => {
-  const r = Schema.decodeUnknownEither(schema, { errors: 'all' })(value);
-  if (Either.isRight(r)) return r.right;
-  const lines = ParseResult.ArrayFormatter.formatErrorSync(r.left).map(
-    (e) => `${what}: ${e.path.join('.') || '(whole file)'}: ${e.message}`,
-  );
-  throw new SettingsError(lines.join('\n'));
-};
-
-const read = (parse: (s: string) => unknown, source: string, what: string): unknown => {
-  try {
-    return parse(source);
-  } catch (e) {
-    throw new SettingsError(`${what}: ${(e as Error).message}`);
-  }
-};
+const fail = (message: string): SettingsError => new SettingsError(message);
 
 export const parseTuning = (yaml: string | null): Tuning => {
-  const value = yaml === null ? {} : (read(parseYaml, yaml, 'operators settings') ?? {});
-  const o = check(Operators, value, 'operators settings');
+  const value = yaml === null ? {} : (read(parseYaml, yaml, 'operators settings', fail) ?? {});
+  const o = check(Operators, value, 'operators settings', fail);
   return {
     leaderLeaseUs: us(o.leader_lease_s),
     silentUs: us(o.silent_s),
@@ -137,7 +123,7 @@
 };
 
 export const parseSettings = (toml: string, yaml: string | null): Settings => {
-  const p = check(Platform, read(parseToml, toml, 'settings'), 'settings');
+  const p = check(Platform, read(parseToml, toml, 'settings', fail), 'settings', fail);
   const c = p.cluster;
   const { next } = c.state;
   const tuning = parseTuning(yaml);
