Emulator: names on the wire and a job's defaults stand in one place each

The other side of the protocol had the inverse of tables that the codecs hold, and split a task's name itself; it asks the codecs now. The demo repeated the defaults of the test world's jobs; they are a file of their own, so that the demo need not load the world.

--- a/packages/budgets/test/histories.test.ts
+++ b/packages/budgets/test/histories.test.ts
@@ -5,7 +5,8 @@
 import { readClosed } from '@shaleyoke/budgets/records';
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
-import { specOf, TYPE } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { TYPE } from '@shaleyoke/emulator/world';
 import { chargedMoney, chargedUs, play, REPORT, teams, view } from './played.js';
 
 test('a quiet day is charged as it ran, and the records say so by themselves', () => {
--- a/packages/budgets/test/limits.test.ts
+++ b/packages/budgets/test/limits.test.ts
@@ -5,7 +5,8 @@
 import { totalsOf, verifyBooks } from '@shaleyoke/budgets/reader';
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
-import { specOf, type World } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { type World } from '@shaleyoke/emulator/world';
 import { play, view } from './played.js';
 
 const stages = (w: World, ids: readonly string[]): (string | undefined)[] => {
--- a/packages/budgets/test/statement.test.ts
+++ b/packages/budgets/test/statement.test.ts
@@ -11,7 +11,7 @@
 import { explainJob } from '@shaleyoke/budgets/explain';
 import { SECOND } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
-import { specOf } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
 import { play, settings, TEAMS, view } from './played.js';
 
 const TERMS = { zone: 'Europe/Warsaw', currency: 'EUR', limit: { soft: null, hard: 5_000_000 } };
--- a/packages/core/test/dependencies.test.ts
+++ b/packages/core/test/dependencies.test.ts
@@ -6,7 +6,8 @@
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
 import { activeRecord, bytesOf, endedRecord, readActive, readEnded } from '@shaleyoke/core/records';
 import { Random } from '@shaleyoke/emulator/random';
-import { specOf, World } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { World } from '@shaleyoke/emulator/world';
 
 /** A graph grown at random: each job needs some of those before it. */
 const grown = (r: Random, count: number, id: (i: number) => string): JobSpec[] => {
--- a/packages/core/test/pages.test.ts
+++ b/packages/core/test/pages.test.ts
@@ -11,7 +11,8 @@
 import { Roster } from '@shaleyoke/core/roster';
 import { Writer } from '@shaleyoke/core/writer';
 import { Random } from '@shaleyoke/emulator/random';
-import { settingsFor, specOf } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { settingsFor } from '@shaleyoke/emulator/world';
 
 const settings = settingsFor('n0', ['n0'], '[[cluster.teams]]\nname = "t"\n');
 
--- a/packages/core/test/rules.test.ts
+++ b/packages/core/test/rules.test.ts
@@ -3,7 +3,8 @@
 import { test } from 'node:test';
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
-import { specOf, World } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { World } from '@shaleyoke/emulator/world';
 
 const shapes = (r: Random, id: string): JobSpec => {
   const pick = r.below(5);
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -9,7 +9,8 @@
 import { placeGroup, playOut, search } from '@shaleyoke/core/search';
 import { Timings } from '@shaleyoke/core/timings';
 import { Random } from '@shaleyoke/emulator/random';
-import { specOf, TYPE } from '@shaleyoke/emulator/world';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { TYPE } from '@shaleyoke/emulator/world';
 
 const typeOf = (name: string, more: Partial<MachineType> = {}): MachineType => ({ ...TYPE, name, ...more });
 
--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -8,6 +8,7 @@
 import type { JobSpec, MachineType } from '@shaleyoke/core/model';
 import { SECOND } from '@shaleyoke/core/model';
 import { Loopback } from '@shaleyoke/emulator/loopback';
+import { specOf } from '@shaleyoke/emulator/specs';
 
 export const TENANTS = ['gemeente', 'waterbedrijf', 'energie'] as const;
 const ZONE = 'Europe/Amsterdam';
@@ -33,30 +34,17 @@
     .join('') +
   (Object.keys(hard).length === 0 ? '  {}\n' : '');
 
-export const jobOf = (id: string, team: string, more: Partial<JobSpec> = {}): JobSpec => ({
-  id,
-  class: 'brieven',
-  team,
-  shape: 'array',
-  priority: 1,
-  tasks: 4,
-  cores: 2,
-  gpus: 0,
-  memoryGb: 4,
-  image: 'brieven-1',
-  imageGb: 1,
-  types: null,
-  zone: null,
-  sameZone: false,
-  spread: false,
-  spot: false,
-  estimateUs: 8 * SECOND,
-  checkpointUs: 0,
-  saveUs: 0,
-  deadlineUs: null,
-  needs: [],
-  ...more,
-});
+export const jobOf = (id: string, team: string, more: Partial<JobSpec> = {}): JobSpec =>
+  specOf(id, {
+    class: 'brieven',
+    team,
+    tasks: 4,
+    cores: 2,
+    memoryGb: 4,
+    image: 'brieven-1',
+    estimateUs: 8 * SECOND,
+    ...more,
+  });
 
 export const booksOf = (l: Loopback): BooksView =>
   viewBooks(l.state.keys('b/').map((key) => ({ key, value: l.state.value(key), version: 1, lease: null })));
--- /dev/null
+++ b/packages/emulator/src/specs.ts
@@ -0,0 +1,28 @@
+/** Jobs for tests and demonstrations: two tasks of a core each, ten seconds long, with what is said differently. */
+import type { JobSpec } from '@shaleyoke/core/model';
+import { SECOND } from '@shaleyoke/core/model';
+
+export const specOf = (id: string, more: Partial<JobSpec> = {}): JobSpec => ({
+  id,
+  class: 'c',
+  team: 't',
+  shape: 'array',
+  priority: 1,
+  tasks: 2,
+  cores: 1,
+  gpus: 0,
+  memoryGb: 1,
+  image: 'img',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  sameZone: false,
+  spread: false,
+  spot: false,
+  estimateUs: 10 * SECOND,
+  checkpointUs: 0,
+  saveUs: 0,
+  deadlineUs: null,
+  needs: [],
+  ...more,
+});
--- a/packages/emulator/src/wire.ts
+++ b/packages/emulator/src/wire.ts
@@ -2,7 +2,6 @@
 import type {
   CloudOp,
   CloudReply,
-  ExitCause,
   JobSpec,
   ListedMachine,
   MachineType,
@@ -10,7 +9,6 @@
   Report,
   StateOp,
   StateReply,
-  TaskState,
   WorkerAnswer,
 } from '@shaleyoke/core/model';
 import {
@@ -27,7 +25,12 @@
   text,
   type Fields,
 } from '@shaleyoke/protocol/body';
-import { taskName } from '@shaleyoke/protocol/workers';
+import { PRIORITIES, SHAPES } from '@shaleyoke/protocol/users';
+import { CAUSES, splitTask, STATES, taskName } from '@shaleyoke/protocol/workers';
+
+/** A value's name on the wire, by the protocol's own table. */
+const nameIn = <T>(table: ReadonlyMap<string, T>, value: T): string =>
+  [...table].find(([, v]) => v === value)![0];
 
 export interface Answer {
   readonly status: number;
@@ -198,24 +201,6 @@
 
 // ---- workers -------------------------------------------------------------------------------------
 
-const STAGES: Record<TaskState, string> = {
-  fetching: 'pulling',
-  waiting: 'gathering',
-  running: 'running',
-  saving: 'flushing',
-  exited: 'exited',
-};
-const CAUSES: Record<ExitCause, string> = {
-  done: 'done',
-  stopped: 'stopped',
-  peers: 'peers',
-  alone: 'incomplete',
-  error: 'error',
-  noRoom: 'full',
-  busy: 'busy',
-  unknown: 'no_such',
-};
-
 export const encodeReport = (r: Report): Buffer =>
   encodeBody({
     berth: r.machine,
@@ -230,17 +215,15 @@
     parts: r.tasks.map((t) => ({
       part: taskName(t.job, t.index),
       try: t.attempt,
-      stage: STAGES[t.state],
-      ...(t.cause === null ? {} : { cause: CAUSES[t.cause] }),
+      stage: nameIn(STATES, t.state),
+      ...(t.cause === null ? {} : { cause: nameIn(CAUSES, t.cause) }),
       ...(t.saved ? { saved: true } : {}),
     })),
   });
 
 const orderOf = (value: unknown): Order => {
   const f = asFields(value, 'order');
-  const part = text(f, 'part');
-  const cut = part.lastIndexOf('/');
-  const id = { job: part.slice(0, cut), index: Number(part.slice(cut + 1)), attempt: integer(f, 'try') };
+  const id = { ...splitTask(text(f, 'part')), attempt: integer(f, 'try') };
   switch (text(f, 'verb')) {
     case 'launch':
       return { op: 'start', ...id };
@@ -281,16 +264,13 @@
 
 // ---- users ---------------------------------------------------------------------------------------
 
-const SHAPES = { array: 'array', gang: 'group', service: 'service' } as const;
-const URGENCIES = ['best_effort', 'normal', 'urgent', 'critical'] as const;
-
 export const encodeSubmission = (s: JobSpec): Buffer =>
   encodeBody({
     ref: s.id,
     bundle: s.class,
     owner: s.team,
-    shape: SHAPES[s.shape],
-    urgency: URGENCIES[s.priority],
+    shape: nameIn(SHAPES, s.shape),
+    urgency: nameIn(PRIORITIES, s.priority),
     parts: s.tasks,
     cores: s.cores,
     gpus: s.gpus,
--- a/packages/protocol/src/users.ts
+++ b/packages/protocol/src/users.ts
@@ -16,12 +16,12 @@
   type Fields,
 } from './body.js';
 
-const SHAPES: ReadonlyMap<string, Shape> = new Map([
+export const SHAPES: ReadonlyMap<string, Shape> = new Map([
   ['array', 'array'],
   ['group', 'gang'],
   ['service', 'service'],
 ]);
-const PRIORITIES: ReadonlyMap<string, Priority> = new Map([
+export const PRIORITIES: ReadonlyMap<string, Priority> = new Map([
   ['critical', 3],
   ['urgent', 2],
   ['normal', 1],
--- a/packages/protocol/src/workers.ts
+++ b/packages/protocol/src/workers.ts
@@ -23,14 +23,14 @@
   text,
 } from './body.js';
 
-const STATES: ReadonlyMap<string, TaskState> = new Map([
+export const STATES: ReadonlyMap<string, TaskState> = new Map([
   ['pulling', 'fetching'],
   ['gathering', 'waiting'],
   ['running', 'running'],
   ['flushing', 'saving'],
   ['exited', 'exited'],
 ]);
-const CAUSES: ReadonlyMap<string, ExitCause> = new Map([
+export const CAUSES: ReadonlyMap<string, ExitCause> = new Map([
   ['done', 'done'],
   ['stopped', 'stopped'],
   ['peers', 'peers'],
@@ -43,7 +43,7 @@
 
 export const taskName = (job: string, index: number): string => `${job}/${index}`;
 
-const splitTask = (name: string): { job: string; index: number } => {
+export const splitTask = (name: string): { job: string; index: number } => {
   const cut = name.lastIndexOf('/');
   const index = Number(name.slice(cut + 1));
   if (cut <= 0 || !Number.isInteger(index) || index < 0) throw new Malformed('part: not a task');
