Dead flag, a wrapper, and a type that stood twice are gone

Follow.load is only called while a question is under way, so its own flag never held anything back; Store.read did nothing but get; the way to a feature's part was typed in runtime and in kube, and is the ports' now. No behaviour changes.

--- a/packages/budgets/src/feature.ts
+++ b/packages/budgets/src/feature.ts
@@ -394,7 +394,7 @@
     next.asked = true;
     const { owner, month } = next;
     const key = closedKey(owner, month);
-    this.store.read(key, (item) => {
+    this.store.get(key, (item) => {
       if (item !== null || !this.entered || this.store.inJournal(owner, month)[1] === 0) {
         // Closed by an earlier leader, or nothing ran: statements never change, and empty ones need no record.
         this.closing.shift();
--- a/packages/budgets/src/store.ts
+++ b/packages/budgets/src/store.ts
@@ -191,7 +191,8 @@
     then({ w: head.w, limits });
   }
 
-  private get(key: string, then: (item: Item | null) => void): void {
+  /** A record as it is now; tried until the state service answers. */
+  get(key: string, then: (item: Item | null) => void): void {
     this.term.ctx.state({ kind: 'get', key }, 1, (r) => {
       if (this.term.stopped) return;
       if (r.kind === 'item') then(r.item);
@@ -228,11 +229,6 @@
     return this.accounts.inJournal(owner, month);
   }
 
-  /** A record as it is now. */
-  read(key: string, then: (item: Item | null) => void): void {
-    this.get(key, then);
-  }
-
   get lastJournalPage(): number {
     return this.tail.n;
   }
--- a/packages/core/src/ports.ts
+++ b/packages/core/src/ports.ts
@@ -51,6 +51,13 @@
   asked(request: number, body: unknown): void;
 }
 
+/** Puts a client's question to a feature's part; returns its number. `told` is called until the last answer. */
+export type AskFeature = (
+  feature: string,
+  body: unknown,
+  told: (answer: unknown, last: boolean) => void,
+) => number;
+
 export interface Feature {
   readonly name: string;
   /** Called once for a process, before anything else. */
--- a/packages/kube/src/follow.ts
+++ b/packages/kube/src/follow.ts
@@ -19,7 +19,6 @@
 export class Follow {
   readonly view = new View();
   private loaded = false;
-  private loading = false;
   private waiting: ((ok: boolean) => void)[] = [];
   private asking = false;
   private gathering = false;
@@ -90,15 +89,9 @@
 
   /** Reads all objects. Pages are of different moments: what changed meanwhile is put right from the first's on. */
   private load(then: (ok: boolean) => void, after = '', found: Item[] = [], from = -1): void {
-    if (after === '' && this.loading) {
-      then(false);
-      return;
-    }
-    this.loading = true;
     const op = { kind: 'list', prefix: ROOT, limit: PAGE, ...(after === '' ? {} : { after }) } as const;
     this.ctx.state(op, 1, (r) => {
       if (r.kind !== 'items') {
-        this.loading = false;
         then(false);
         return;
       }
@@ -109,7 +102,6 @@
         this.load(then, last.key, found, first);
         return;
       }
-      this.loading = false;
       this.view.reset(found, first);
       this.ctx.state({ kind: 'watch', prefix: ROOT, after: first, waitMs: 0 }, 1, (w) => {
         if (w.kind === 'events') {
--- a/packages/kube/src/plugin.ts
+++ b/packages/kube/src/plugin.ts
@@ -1,7 +1,7 @@
 /** What the program loads when the front is switched on, or one of its commands is called: a bundle of its own. */
 import { randomBytes } from 'node:crypto';
 import type { Team } from '@shaleyoke/core/model';
-import type { Feature } from '@shaleyoke/core/ports';
+import type { AskFeature, Feature } from '@shaleyoke/core/ports';
 import type { KubeAnswer } from './api.js';
 import { Kube } from './feature.js';
 import { FEATURE, type KubeAsk } from './front.js';
@@ -11,8 +11,6 @@
 export { register, type Host } from './commands.js';
 export { KubeSettingsError } from './settings.js';
 
-type AskFeature = (feature: string, body: unknown, told: (answer: unknown, last: boolean) => void) => number;
-
 /** `yaml`: the operators' file; `what`: its name, for messages. Throws `KubeSettingsError`. */
 export const switchOn = (
   yaml: string,
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -1,7 +1,7 @@
 /** One controller: feeds the core and carries out what it returns. */
 import { Effect, Runtime, type Scope } from 'effect';
 import { Core } from '@shaleyoke/core/core';
-import type { Feature } from '@shaleyoke/core/ports';
+import type { AskFeature, Feature } from '@shaleyoke/core/ports';
 import type { CoreEffect, Input, Settings, UserRequest } from '@shaleyoke/core/model';
 import { decodeBody, encodeBody, Malformed } from '@shaleyoke/protocol/body';
 import { decodePeer, PEER_PATH } from '@shaleyoke/protocol/peers';
@@ -181,13 +181,6 @@
 /** Sockets kept for calls to workers, peers, cloud and state service. */
 const OUTGOING_SHARE = 0.25;
 
-/** Puts a client's question to a feature of the core; returns its number. `told` is called until the last answer. */
-export type AskFeature = (
-  feature: string,
-  body: unknown,
-  told: (answer: unknown, last: boolean) => void,
-) => number;
-
 /** A feature's own listener; it is handed the way to the core. */
 export type FeatureListener = (ask: AskFeature) => Promise<{ readonly close: () => void }>;
 
