Leases: a session that an order tells of counts from then, not from the one before

Cause: a leader whose right comes back after the workers' leases ran out sends an order that waited; the worker refuses it in its next session, and its answer tells that session. The count of the lease was only touched by reports, so half a second later the session "ended", and what had just been started on it was started again elsewhere (ran_twice).

Change: a session that is heard of for the first time began by now, so its lease is counted from now on, by whichever way it was heard of.

--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -68,6 +68,9 @@
       if (m.session > 0) ctx.info('machine.session', { machine: m.name, session: r.session });
       for (const a of [...m.attempts.values()]) if (a.session < r.session) this.attempts.end(a, null);
       m.session = r.session;
+      // It began by now, and lasts for a whole lease from its beginning. Who hears of it from the answer to an order, which
+      // renews nothing, would else end at once what it had just started there (ran_twice in a generated history).
+      m.leaseFrom = ctx.now;
       m.images.clear();
       m.changes++;
     }
--- a/packages/core/test/rules.test.ts
+++ b/packages/core/test/rules.test.ts
@@ -141,3 +141,19 @@
   assert.deepEqual([...new Set(w.broken)].slice(0, 5), []);
   for (let i = 0; i < 4; i++) assert.equal(w.stageOf(`run-${i}`), 'done');
 });
+
+test('a session that an order tells of is not ended by the count of the one before', () => {
+  // Found by a generated history (ran_twice): the right comes back after the workers' leases ran out, an order that
+  // waited is refused by a worker in its next session, work is started there, and the old count then "ends" it.
+  for (let offset = 0; offset < 24; offset++) {
+    const w = new World(new Random(offset + 1), 3, '[[cluster.teams]]\nname = "t"\n', 1e9, 6);
+    w.runFor(3 * SECOND);
+    for (let i = 0; i < 4; i++) w.submit(specOf(`run-${i}`, { tasks: 6, estimateUs: 90 * SECOND }));
+    w.runFor(30 * SECOND);
+    for (let i = 10; i < 14; i++) w.submit(specOf(`run-${i}`, { tasks: 4, estimateUs: 40 * SECOND }));
+    w.runFor((10 + offset * 4) * 1000);
+    w.stateOutage(24 * SECOND);
+    w.runFor(60 * SECOND);
+    assert.deepEqual([...new Set(w.broken)].slice(0, 3), [], `offset ${offset}`);
+  }
+});
