Emulator: links between named parties can be cut, and what controllers tell arrives

Need: cuts that leave some links up could not be played: the simulated world knew only whole workers that are cut off, and dropped what controllers tell one another.

Change: network.ts holds cuts by link and direction; what is sent over one is held back and carried out when it ends, as the protocol says. Watches opened before a cut are answered or given up beyond it. What nodes log can be looked at.

Result: no behaviour of the service changes.

--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -9,6 +9,7 @@
   CoreEffect,
   Input,
   JobSpec,
+  LogFields,
   MachineType,
   Micros,
   Order,
@@ -17,7 +18,6 @@
   ReportedTask,
   Settings,
   StateOp,
-  StateReply,
   UserAnswer,
 } from '@shaleyoke/core/model';
 import { MILLI, SECOND } from '@shaleyoke/core/model';
@@ -25,6 +25,7 @@
 import type { Feature } from '@shaleyoke/core/ports';
 import { readActive } from '@shaleyoke/core/records';
 import { parseSettings } from '@shaleyoke/settings/settings';
+import { Network } from './network.js';
 import type { Random } from './random.js';
 import { StateModel } from './state-model.js';
 
@@ -136,6 +137,10 @@
       this.plan(2 * MILLI, run);
     },
   );
+  /** Links of nodes: by their names, `state`, and the names of workers. */
+  readonly network = new Network(() => this.now);
+  /** What nodes log, for those who look at it. */
+  onLog: (node: string, event: string, fields: LogFields) => void = () => undefined;
   private queue: Planned[] = [];
   private order = 0;
   private nextMachine = 1;
@@ -218,6 +223,7 @@
           },
           { kind: 'failed', executed: null, reason: 'lost' },
           e.op.kind === 'watch' ? e.op : null,
+          n.name,
         );
         return;
       case 'cloud':
@@ -231,7 +237,7 @@
         );
         return;
       case 'orders':
-        this.carryOrders(e, (r) => {
+        this.carryOrders(n.name, e, (r) => {
           back({ kind: 'orders', call: e.call, reply: r });
         });
         return;
@@ -250,9 +256,17 @@
         n.wake = e.at + n.startAt - 1;
         return;
       case 'log':
+        this.onLog(n.name, e.event, e.fields);
         if (e.level === 'error') this.broken.push(`error logged: ${e.event} ${JSON.stringify(e.fields)}`);
         return;
-      case 'peer':
+      case 'peer': {
+        const to = this.nodes.find((x) => x.name === e.member)!;
+        if (this.random.chance(this.loss / 2)) return;
+        this.plan(this.network.delay(n.name, to.name) + 2 * MILLI, () => {
+          this.feed(to, { kind: 'peer', message: e.message });
+        });
+        return;
+      }
       case 'role':
         return;
     }
@@ -264,11 +278,37 @@
     reply: (r: R) => void,
     lost: R,
     watch: (StateOp & { kind: 'watch' }) | null,
+    from = '',
   ): void {
     const fate = this.random.next();
+    const there = this.network.delay(from, 'state');
+    if (there > 0 || this.network.delay('state', from) > 0) {
+      // Held back by the cut: a request is carried out when it ends, and nobody waits for the answer that long.
+      if (watch === null)
+        this.plan(there + 2 * MILLI, () => {
+          run();
+        });
+      this.plan(watch === null ? 1200 * MILLI : watch.waitMs * MILLI + 2 * SECOND, () => {
+        reply(lost);
+      });
+      return;
+    }
     if (watch !== null) {
+      // A watch that was opened before a cut is answered, or given up, on the far side of it.
+      let open = true;
+      const answer = (r: R): void => {
+        if (open) reply(r);
+        open = false;
+      };
       this.plan(3 * MILLI, () => {
-        this.state.watch(watch, reply as (r: StateReply) => void);
+        this.state.watch(watch, (r) => {
+          this.plan(this.network.delay('state', from), () => {
+            answer(r as R);
+          });
+        });
+      });
+      this.plan(watch.waitMs * MILLI + 2 * SECOND, () => {
+        answer(lost);
       });
       return;
     }
@@ -421,6 +461,17 @@
       return;
     }
     const report = this.reportOf(w);
+    const there = this.network.delay(w.name, n.name);
+    if (there > 0 || this.network.delay(n.name, w.name) > 0) {
+      // The worker waits for 4 s, and goes on to the next node a second later.
+      next();
+      w.nextReport += 4 * SECOND;
+      const late = this.nextRequest++;
+      this.plan(there + 2 * MILLI, () => {
+        this.feed(n, { kind: 'report', request: late, report });
+      });
+      return;
+    }
     const { session } = w;
     const request = this.nextRequest++;
     const life = n.life;
@@ -453,8 +504,13 @@
     if (lostThere || lostBack) next();
   }
 
-  private carryOrders(e: CoreEffect & { kind: 'orders' }, reply: (r: OrdersReply) => void): void {
+  private carryOrders(
+    from: string,
+    e: CoreEffect & { kind: 'orders' },
+    reply: (r: OrdersReply) => void,
+  ): void {
     const w = this.workers.get(e.address);
+    const held = Math.max(w === undefined ? 0 : w.cutUntil - this.now, this.network.delay(from, e.address));
     const run = (): OrdersReply => {
       if (w === undefined || !w.alive || this.now < w.upAt) return { kind: 'lost', report: null };
       if (e.token < w.token || e.session !== w.session) return { kind: 'refused', report: this.reportOf(w) };
@@ -462,9 +518,9 @@
       for (const o of e.orders) this.execute(w, o);
       return { kind: 'executed', report: this.reportOf(w) };
     };
-    if (w !== undefined && this.now < w.cutUntil) {
+    if (held > 0 || this.network.delay(e.address, from) > 0) {
       // Held back by the cut, and delivered when it ends.
-      this.plan(w.cutUntil - this.now, () => {
+      this.plan(held, () => {
         run();
       });
       this.plan(2500 * MILLI, () => {
