Who leads: a name without word for a lease is worth nothing, and peers' word of a term counts

Cause: a node that had lost the state service named the leader last seen for ever and sent workers back to it; that one had lost its right and answered 503, and the worker's next node was the one that redirects.

Change: Leadership keeps who leads with when it last had word of it, by the state service (watches of half a lease instead of 10 s) or by the leader itself, which tells its term every second, without counts too. After a lease without word: 503. A higher term heard from a peer is proof that earlier offices ended, so a deposed leader gives up at once. Without right nothing is told.

Ruled out: a threshold at which the successor resigns; it was never the successor's fault.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -102,7 +102,9 @@
         this.parts.get(input.feature)?.asked(input.request, input.body);
         return;
       case 'peer':
-        this.desk.noteProgress(input.message);
+        // Counts of an office that is over are older than those of the next.
+        if (this.leadership.heard(input.message.member, input.message.term))
+          this.desk.noteProgress(input.message);
         return;
     }
   }
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/leadership.ts
@@ -10,11 +10,19 @@
 /** Steady clocks drift apart by up to 0.05%; twice that is taken off every lease. */
 export const DRIFT = 0.001;
 
+/** Of the lease's length: how long one look at the leader's key lasts, so that a lost link shows soon. */
+const WATCH_PART = 0.5;
+
 interface LeadRecord {
   readonly member: string;
   readonly term: number;
 }
 
+/** The newest office that this node knows of, and when it last had word that it is held. */
+interface Seen extends LeadRecord {
+  readonly at: Micros;
+}
+
 const asLead = (v: unknown): LeadRecord | null => {
   const r = v as Partial<LeadRecord> | null;
   return typeof r === 'object' && r !== null && typeof r.member === 'string' && typeof r.term === 'number'
@@ -32,9 +40,11 @@
 }
 
 export class Leadership {
-  /** The leader as last seen in the state service. */
-  leader: string | null = null;
   office: Office | null = null;
+  /** Who was last known to lead; null when that office is known to have ended. */
+  private seen: Seen | null = null;
+  /** The highest term that this node has heard of. */
+  private lastTerm = 0;
   private rightEnds: Micros = 0;
   /** When this process last gave an office up on purpose. */
   resignedAt: Micros | null = null;
@@ -58,6 +68,36 @@
     return this.office !== null && this.ctx.now < this.rightEnds;
   }
 
+  /**
+   * Who leads, as far as this node may say so: a name without word for a whole lease is worth nothing. A node that
+   * had lost the state service once named a deposed leader for as long, which sent workers back to it: none of them
+   * came to the one that led, and all leases ran out.
+   */
+  get leader(): string | null {
+    if (this.office !== null) return this.ctx.settings.member;
+    return this.seen !== null && this.ctx.now < this.seen.at + this.ttl ? this.seen.member : null;
+  }
+
+  /**
+   * Word of a leader itself, by the peers' address. A higher term is proof that all earlier offices have ended, ours
+   * too: it is only written when nobody holds the leader's key. Returns whether the word is of the newest office known.
+   */
+  heard(member: string, term: number): boolean {
+    if (!this.ctx.settings.peers.some((p) => p.member === member)) return false;
+    if (this.office !== null && term > this.office.term) this.lose('succeeded');
+    // What was held back on its way may be of an office that is over.
+    if (this.office !== null || term < this.lastTerm) return false;
+    if (term === this.lastTerm && this.seen?.member !== member) return false;
+    if (this.seen?.member !== member) this.ctx.info('leader.heard', { member, term });
+    this.note(member, term);
+    return true;
+  }
+
+  private note(member: string, term: number): void {
+    this.lastTerm = Math.max(this.lastTerm, term);
+    this.seen = { member, term, at: this.ctx.now };
+  }
+
   start(): void {
     this.look();
   }
@@ -80,7 +120,7 @@
     this.ctx.info('leader.lost', { term: this.office.term, reason });
     this.office = null;
     this.rightEnds = 0;
-    this.leader = null;
+    this.seen = null;
     this.ctx.emit({ kind: 'role', leader: false });
     this.onLost();
     this.look();
@@ -108,10 +148,11 @@
           });
           return;
         }
-        this.leader = lead?.member ?? null;
+        // An answer that was long on its way may be older than what a peer has told.
+        if (lead !== null && lead.term >= this.lastTerm) this.note(lead.member, lead.term);
         this.watch(r.item.version);
       } else if (r.kind === 'missing') {
-        this.leader = null;
+        this.seen = null;
         this.looking = false;
         this.acquire();
       } else {
@@ -121,11 +162,17 @@
   }
 
   private watch(after: number): void {
-    this.ctx.state({ kind: 'watch', prefix: LEAD, after, waitMs: 10_000 }, 0, (r) => {
+    const of = this.seen;
+    const waitMs = Math.floor((this.ttl * WATCH_PART) / MILLI);
+    this.ctx.state({ kind: 'watch', prefix: LEAD, after, waitMs }, 0, (r) => {
       if (r.kind === 'events') {
-        const gone = r.events.some((e) => e.kind === 'delete' && e.key === LEAD);
-        if (gone || r.events.length > 0) this.again(0);
-        else this.watch(Math.max(after, r.revision));
+        if (r.events.length > 0) {
+          this.again(0);
+          return;
+        }
+        // Nothing has changed: the same office is still held.
+        if (of !== null && of.term === this.lastTerm && this.seen !== null) this.note(of.member, of.term);
+        this.watch(Math.max(after, r.revision));
       } else {
         this.again(r.kind === 'tooOld' ? 0 : 500 * MILLI);
       }
@@ -181,7 +228,7 @@
           return;
         }
         this.acquiring = false;
-        this.leader = value.member;
+        this.note(value.member, term);
         this.office = { term, version: r.revision, lease, since: this.ctx.now };
         this.extend(sent);
         this.ctx.emit({ kind: 'role', leader: true });
--- a/packages/core/src/scheduler.ts
+++ b/packages/core/src/scheduler.ts
@@ -260,6 +260,7 @@
             this.completion.ended(job, null);
       },
     }).start();
+    this.tell();
     this.sweepLater();
   }
 
@@ -375,6 +376,8 @@
 
   /** Counts for display, to the other nodes and to this one's desk. */
   private tell(): void {
+    // Who was deposed and doesn't know it would else be taken for the leader by those who know less.
+    if (!this.term.entitled()) return;
     const notes: ProgressNote[] = [];
     for (const job of this.term.estate.jobs.values()) {
       if (job.phase === 'ended' || job.held) continue;
@@ -385,7 +388,7 @@
       notes.push(note);
       if (notes.length >= 1_000) break;
     }
-    if (notes.length === 0) return;
+    // Sent without counts too: it tells the others who leads, also those who can't ask the state service.
     const message = {
       kind: 'progress',
       member: this.ctx.settings.member,
@@ -411,6 +414,7 @@
     this.sweeps++;
     const entitled = this.term.entitled();
     this.silence.noteRight(entitled);
+    if (this.sweeps % 2 === 0) this.tell();
     if (!this.term.ready) return;
     // Without right nothing is decided: others may have led and answered since, and what this picture shows of
     // silence, leases and gangs is then no more than that nobody reports here. A leader that had been deposed for 33 s
@@ -430,7 +434,6 @@
       f.sweep(entitled);
     });
     if (this.sweeps % 2 === 0) this.hold();
-    if (this.sweeps % 2 === 0) this.tell();
     if (this.sweeps % 60 === 0) this.saveTimings();
     if (this.sweeps % 4 === 0 || this.planner.owes) this.planner.soon();
     if (this.sweeps % 6 === 0 && entitled && estate.thrifty()) this.consolidation.consolidate();
--- /dev/null
+++ b/packages/core/test/cuts.test.ts
@@ -0,0 +1,150 @@
+/** Cuts that leave some links up: who leads, whom workers are sent to, and what a deposed leader does. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Core } from '@shaleyoke/core/core';
+import type { CoreEffect, Input, Report } from '@shaleyoke/core/model';
+import { SECOND } from '@shaleyoke/core/model';
+import { Random } from '@shaleyoke/emulator/random';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { settingsFor, World } from '@shaleyoke/emulator/world';
+
+const NAMES = ['n0', 'n1', 'n2'];
+
+/** A loaded world, who leads in it, and what is logged from now on. */
+const loaded = (seed: number): { w: World; leader: string; others: string[]; log: string[] } => {
+  const w = new World(new Random(seed), 3, '[[cluster.teams]]\nname = "t"\n', 1e9, 30);
+  w.runFor(3 * SECOND);
+  for (let i = 0; i < 10; i++)
+    w.submit(specOf(`run-${i}`, { tasks: 12, cores: 2, estimateUs: 300 * SECOND }));
+  w.runFor(60 * SECOND);
+  const leader = w.nodes.find((n) => n.core?.leads())!.name;
+  const log: string[] = [];
+  w.onLog = (node, event) => log.push(`${node} ${event}`);
+  return { w, leader, others: NAMES.filter((n) => n !== leader), log };
+};
+
+const sessions = (w: World): number => [...w.workers.values()].reduce((n, x) => n + x.session - 1, 0);
+
+test('two nodes lose the state service: workers come to the third, and no lease runs out', () => {
+  // The circle, seen at fleet size: a node that could not read who leads sent workers back to the leader that had
+  // been deposed; the new leader heard none, resigned, and all leases ran out.
+  for (const refused of [false, true])
+    for (let seed = 1; seed <= 4; seed++) {
+      const { w, leader, others, log } = loaded(seed);
+      const busy = [...w.workers.values()].filter((x) => x.tasks.length > 0).length;
+      assert.ok(busy >= 20, `${busy} busy workers`);
+      for (const n of [leader, others[0]!]) w.network.cut(n, 'state', 60 * SECOND);
+      // Where peers don't hear each other either, the old name runs out by itself.
+      if (refused) for (const a of NAMES) for (const b of NAMES) if (a < b) w.network.cut(a, b, 60 * SECOND);
+      w.runFor(12 * SECOND);
+      assert.equal(w.nodes.find((n) => n.core?.leads())?.name, others[1]);
+      w.runFor(75 * SECOND);
+      assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
+      assert.equal(sessions(w), 0, `seed ${seed}, refused ${refused}: leases that ran out`);
+      assert.equal(log.filter((l) => l.endsWith('leader.won')).length, 1, 'the office changes hands once');
+    }
+});
+
+test('a leader that lost the state service alone decides nothing once its right is over', () => {
+  // Seen at fleet size: 33 s after another had won, the deposed one rented 56 machines for what it took as lost.
+  for (const refused of [false, true]) {
+    const { w, leader, others, log } = loaded(7);
+    w.network.cut(leader, 'state', 60 * SECOND);
+    if (refused) for (const o of others) w.network.cut(leader, o, 60 * SECOND);
+    w.runFor(7 * SECOND);
+    assert.ok(others.some((o) => w.nodes.find((n) => n.name === o)!.core!.leads()));
+    log.length = 0;
+    // More than can run: there is something to rent for.
+    for (let i = 20; i < 24; i++) w.submit(specOf(`run-${i}`, { tasks: 12, cores: 4 }));
+    w.runFor(50 * SECOND);
+    const acts = ['fleet.rent', 'machine.lease_ended', 'machine.retire', 'gang.broken', 'leader.resign'];
+    assert.deepEqual(
+      log.filter((l) => acts.some((a) => l === `${leader} ${a}`)),
+      [],
+    );
+    assert.ok(
+      log.some((l) => l.endsWith('fleet.rent')),
+      'the new leader rents',
+    );
+    // What is told by a peer ends the office at once; else it lasts until the state service answers again.
+    assert.equal(log.filter((l) => l === `${leader} leader.suspended`).length > 0, refused);
+    w.runFor(30 * SECOND);
+    assert.deepEqual([...new Set(w.broken)], []);
+    assert.equal(sessions(w), 0);
+  }
+});
+
+// ---- one node by itself --------------------------------------------------------------------------
+
+interface Alone {
+  feed(atS: number, input: Input): CoreEffect[];
+  /** Where a worker is sent that reports now. */
+  sentTo(atS: number): string | null;
+  tell(atS: number, member: string, term: number): void;
+}
+
+const REPORT: Report = {
+  machine: 'm-1',
+  address: 'm-1',
+  type: 'box',
+  zone: 'a',
+  spot: false,
+  session: 1,
+  seq: 1,
+  token: 0,
+  noticeUs: null,
+  tasks: [],
+};
+
+/** A node whose state service answers nothing but what the test says. */
+const alone = (): Alone => {
+  const core = new Core(settingsFor('n0', NAMES, '[[cluster.teams]]\nname = "t"\n'), () => 0);
+  const feed = (atS: number, input: Input): CoreEffect[] => core.step(atS * SECOND, input);
+  feed(0, { kind: 'start', wallUs: 0 });
+  return {
+    feed,
+    sentTo: (atS) => {
+      const out = feed(atS, { kind: 'report', request: 1, report: REPORT });
+      const a = out.find((e) => e.kind === 'answerWorker')?.answer;
+      assert.notEqual(a?.kind, 'accepted');
+      return a?.kind === 'redirect' ? a.leader : null;
+    },
+    tell: (atS, member, term) => {
+      feed(atS, { kind: 'peer', message: { kind: 'progress', member, term, notes: [] } });
+    },
+  };
+};
+
+test('a node names the leader that it has lately had word of, and no other', () => {
+  const n = alone();
+  assert.equal(n.sentTo(1), null);
+  n.tell(2, 'n1', 5);
+  assert.equal(n.sentTo(3), 'n1');
+  n.tell(4, 'n2', 6);
+  assert.equal(n.sentTo(4), 'n2');
+  // Held back on its way: of an office that is over.
+  n.tell(5, 'n1', 5);
+  assert.equal(n.sentTo(5), 'n2');
+  n.tell(8, 'n2', 6);
+  assert.equal(n.sentTo(13), 'n2');
+  // No word for a whole lease.
+  assert.equal(n.sentTo(15), null);
+  n.tell(16, 'n2', 6);
+  assert.equal(n.sentTo(16), 'n2');
+  n.tell(17, 'somebody', 9);
+  assert.equal(n.sentTo(17), 'n2', 'only peers are listened to');
+});
+
+test('the end of an office that the state service tells of is not undone by a late word of it', () => {
+  const n = alone();
+  const look = n.feed(1, { kind: 'timer' });
+  assert.ok(look.every((e) => e.kind !== 'answerWorker'));
+  n.tell(1, 'n1', 5);
+  assert.equal(n.sentTo(1), 'n1');
+  // The first call of a node is its look at the leader's key.
+  n.feed(2, { kind: 'state', call: 1, reply: { kind: 'missing', revision: 9 } });
+  n.tell(2, 'n1', 5);
+  assert.equal(n.sentTo(2), null);
+  n.tell(3, 'n2', 6);
+  assert.equal(n.sentTo(3), 'n2');
+});
