Core: folders by kind, imports one way between them, held by the lint

Need: 41 files stood in one folder; a reader could not find a thing by the folder's name, and what membership adds would have made it worse.

Change: base, picture, records, office, jobs, decision, machines, attempts, users and leader; each may import those below it. For that the plan's view of a machine (slot.ts) and who may stop whom (rights.ts) stand in the picture, where estate and cluster take them from. The names that other packages import follow the folders.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -8,10 +8,32 @@
   to: { path: `^packages/(?!${[name, ...allowed].join('/|')}/)` },
 });
 
+// Within the core: each folder may import those before it (docs/architecture.md); the files beside them are the door.
+const LAYERS = [
+  'base',
+  'picture',
+  'records',
+  'office',
+  'jobs',
+  'decision',
+  'machines',
+  'attempts',
+  'users',
+  'leader',
+];
+const layered = LAYERS.map((layer, i) => ({
+  name: `core-${layer}-knows-only-what-is-below`,
+  comment: `packages/core/src/${layer} may import ${LAYERS.slice(0, i).join(', ') || 'no other folder'}`,
+  severity: 'error',
+  from: { path: `^packages/core/src/${layer}/` },
+  to: { path: `^packages/core/src/(${LAYERS.slice(i + 1).join('|') || 'none'})/` },
+}));
+
 module.exports = {
   forbidden: [
     { name: 'no-circles', severity: 'error', from: {}, to: { circular: true } },
     { name: 'resolvable', severity: 'error', from: {}, to: { couldNotResolve: true } },
+    ...layered,
     only('core'),
     only('protocol', 'core'),
     only('settings', 'core'),
--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts/attempts.ts
@@ -2,11 +2,11 @@
  * The life of an attempt: decided, put on record, sent, seen, stopped, ended. An attempt counts as there from
  * the decision until proven otherwise (docs/safety.md).
  */
-import { attemptKey, type ActiveJob, type Attempt, type Machine } from './cluster.js';
+import { attemptKey, type ActiveJob, type Attempt, type Machine } from '../picture/cluster.js';
 import { leftovers, wholeGang } from './gangs.js';
-import type { Micros, OrdersReply, Report, ReportedTask } from './model.js';
-import { SECOND } from './model.js';
-import type { Term } from './term.js';
+import type { Micros, OrdersReply, Report, ReportedTask } from '../model.js';
+import { SECOND } from '../model.js';
+import type { Term } from '../office/term.js';
 
 export interface AttemptsHost {
   /** Puts the places of a job on record: nothing is sent there before. */
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -1,11 +1,11 @@
 /** What workers report: which tasks are where, what ended and how, and what each worker is to do. */
 import type { Attempts } from './attempts.js';
-import { attemptKey, type ActiveJob, type Attempt, type Machine } from './cluster.js';
+import { attemptKey, type ActiveJob, type Attempt, type Machine } from '../picture/cluster.js';
 import { gangAttempt, leftovers } from './gangs.js';
-import type { JobSpec, Order, Report, ReportedTask, WorkerAnswer } from './model.js';
-import { SECOND } from './model.js';
-import type { Park } from './park.js';
-import type { Term } from './term.js';
+import type { JobSpec, Order, Report, ReportedTask, WorkerAnswer } from '../model.js';
+import { SECOND } from '../model.js';
+import type { Park } from '../machines/park.js';
+import type { Term } from '../office/term.js';
 
 const MAX_ORDERS = 400;
 
--- a/packages/core/src/context.ts
+++ b/packages/core/src/base/context.ts
@@ -12,7 +12,7 @@
   StateOp,
   StateReply,
   Urgency,
-} from './model.js';
+} from '../model.js';
 
 interface Timer {
   readonly at: Micros;
--- a/packages/core/src/room.ts
+++ b/packages/core/src/base/room.ts
@@ -1,5 +1,5 @@
 /** Amounts of cores, GPUs and memory, and what a job's description allows. */
-import type { JobSpec, MachineType } from './model.js';
+import type { JobSpec, MachineType } from '../model.js';
 
 export interface Amounts {
   cores: number;
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -1,13 +1,13 @@
 /** One node as a state machine: `step` takes an input at a time and returns what to do. */
-import { Context } from './context.js';
-import { Desk } from './desk.js';
-import { TYPES } from './keys.js';
-import { Leadership } from './leadership.js';
+import { Context } from './base/context.js';
+import { Desk } from './users/desk.js';
+import { TYPES } from './base/keys.js';
+import { Leadership } from './office/leadership.js';
 import type { CoreEffect, Input, MachineType, Micros, Report, Settings, WorkerAnswer } from './model.js';
 import { MILLI, SECOND } from './model.js';
-import { readTypes } from './records.js';
+import { readTypes } from './base/records.js';
 import type { Feature, NodePart } from './ports.js';
-import { Scheduler } from './scheduler.js';
+import { Scheduler } from './leader/scheduler.js';
 
 export class Core {
   private readonly ctx: Context;
--- a/packages/core/src/ahead.ts
+++ b/packages/core/src/decision/ahead.ts
@@ -3,9 +3,9 @@
  * other work, from when what they need is predicted done, so that room is there or on its way by then. They
  * run for seconds where a machine takes half a minute to boot.
  */
-import type { Dependencies } from './dependencies.js';
-import type { ActiveJob } from './cluster.js';
-import type { Micros } from './model.js';
+import type { Dependencies } from '../jobs/dependencies.js';
+import type { ActiveJob } from '../picture/cluster.js';
+import type { Micros } from '../model.js';
 
 /** Stages that one plan looks ahead to. */
 const MOST = 16;
--- a/packages/core/src/board.ts
+++ b/packages/core/src/decision/board.ts
@@ -3,32 +3,10 @@
  * everything that a play-out changes noted so that it can be taken back. Nothing is copied: at a thousand
  * machines a copy for each candidate costs far more than the play-out itself.
  */
-import type { JobSpec, MachineType, Micros } from './model.js';
-import type { Amounts } from './room.js';
-import { fits, placeAllowed, timesFits } from './room.js';
-
-/** Room that changes at a later time: what ends gives room, what is planned takes it. */
-export interface Change extends Amounts {
-  readonly at: Micros;
-}
-
-/** A machine in the picture: up, booting, or only rentable. */
-export interface Slot {
-  readonly key: string;
-  readonly type: MachineType;
-  readonly zone: string;
-  readonly spot: boolean;
-  /** Costs the same whether it is used or not: it is never returned. */
-  readonly sunk: boolean;
-  /** Null for a machine that would have to be rented. */
-  readonly machine: string | null;
-  readonly ready: Micros;
-  /** Room at `ready`. */
-  free: Readonly<Amounts>;
-  changes: readonly Change[];
-  images: ReadonlySet<string>;
-  used: boolean;
-}
+import type { JobSpec, MachineType, Micros } from '../model.js';
+import type { Amounts } from '../base/room.js';
+import { fits, placeAllowed, timesFits } from '../base/room.js';
+import type { Change, Slot } from '../picture/slot.js';
 
 /** A kind of machine that may be rented. */
 export interface Rentable {
--- a/packages/core/src/clearing.ts
+++ b/packages/core/src/decision/clearing.ts
@@ -1,9 +1,9 @@
 /** Stopping some work for other work: which waiting jobs have a right to that, when, and what it costs. */
 import type { Step } from './board.js';
-import type { Attempt, ActiveJob } from './cluster.js';
-import type { Context } from './context.js';
-import type { Estate } from './estate.js';
-import { SECOND, type Micros } from './model.js';
+import type { Attempt, ActiveJob } from '../picture/cluster.js';
+import type { Context } from '../base/context.js';
+import type { Estate } from '../picture/estate.js';
+import { SECOND, type Micros } from '../model.js';
 import { Clearings, SETTLED } from './preemption.js';
 
 /** A stopped task waits for about this share of how long others of its class wait: it was in order before. */
--- a/packages/core/src/consolidation.ts
+++ b/packages/core/src/decision/consolidation.ts
@@ -1,9 +1,9 @@
 /** Emptying rented machines that hold little, so that they can be returned. */
-import type { Attempt, Machine } from './cluster.js';
-import type { Context } from './context.js';
-import type { Estate } from './estate.js';
-import { SECOND, type Micros } from './model.js';
-import { fits, placeAllowed } from './room.js';
+import type { Attempt, Machine } from '../picture/cluster.js';
+import type { Context } from '../base/context.js';
+import type { Estate } from '../picture/estate.js';
+import { SECOND, type Micros } from '../model.js';
+import { fits, placeAllowed } from '../base/room.js';
 
 export class Consolidation {
   private readonly ctx: Context;
--- a/packages/core/src/imaging.ts
+++ b/packages/core/src/decision/imaging.ts
@@ -1,9 +1,10 @@
 /** The picture that a plan works on, made of the machines as they are and what is predicted of them. */
-import type { Change, Picture, Rentable, Slot } from './board.js';
-import type { Machine } from './cluster.js';
-import type { Context } from './context.js';
-import type { Estate } from './estate.js';
-import { MILLI, SECOND, type JobSpec, type MachineType } from './model.js';
+import type { Picture, Rentable } from './board.js';
+import type { Change, Slot } from '../picture/slot.js';
+import type { Machine } from '../picture/cluster.js';
+import type { Context } from '../base/context.js';
+import type { Estate } from '../picture/estate.js';
+import { MILLI, SECOND, type JobSpec, type MachineType } from '../model.js';
 
 /** How long a machine's slot is kept in the picture while nothing changes there. */
 const PICTURE_FRESH = 2_500 * MILLI;
--- a/packages/core/src/ordering.ts
+++ b/packages/core/src/decision/ordering.ts
@@ -1,10 +1,10 @@
 /** The order in which waiting jobs are looked at: turns first, then priority and the aims that can be met. */
-import { mergeOrders, orderByAims, type AimOrder, type Contender } from './aims.js';
-import type { Context } from './context.js';
-import type { Estate } from './estate.js';
-import type { ActiveJob } from './cluster.js';
-import { SECOND, type Micros } from './model.js';
-import { turnOrder } from './teams.js';
+import { mergeOrders, orderByAims, type AimOrder, type Contender } from '../picture/aims.js';
+import type { Context } from '../base/context.js';
+import type { Estate } from '../picture/estate.js';
+import type { ActiveJob } from '../picture/cluster.js';
+import { SECOND, type Micros } from '../model.js';
+import { turnOrder } from '../picture/teams.js';
 
 export class Ordering {
   /** Team's turns: since when its oldest job has been at the head, and when the next turn is due. */
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/decision/preemption.ts
@@ -1,8 +1,9 @@
 /** Room for work of higher priority, or for a team's guarantee, from what may be stopped for it. */
-import type { Attempt, Machine, ActiveJob } from './cluster.js';
-import type { MachineType, Micros, Team } from './model.js';
-import { SECOND } from './model.js';
-import { addTo, fits, placeAllowed, takeFrom } from './room.js';
+import type { Attempt, Machine, ActiveJob } from '../picture/cluster.js';
+import type { MachineType, Micros } from '../model.js';
+import { SECOND } from '../model.js';
+import { mayPreempt, type Rights } from '../picture/rights.js';
+import { addTo, fits, placeAllowed, takeFrom } from '../base/room.js';
 
 /** A start followed by a stop within half a minute was worth nothing: younger attempts are left alone. */
 export const SETTLED: Micros = 35 * SECOND;
@@ -13,34 +14,6 @@
   readonly machines: ReadonlySet<string>;
 }
 
-export interface TeamUse {
-  readonly cores: number;
-  readonly gpus: number;
-}
-
-/** Whether a team uses more than it is guaranteed. */
-const beyond = (team: Team | undefined, use: TeamUse | undefined): boolean =>
-  team !== undefined && use !== undefined && (use.cores > team.cores + 1e-6 || use.gpus > team.gpus + 1e-6);
-
-export interface Rights {
-  readonly teams: readonly Team[];
-  readonly use: ReadonlyMap<string, TeamUse>;
-  /** Jobs that fit into their team's guarantee along with its earlier unfinished jobs. */
-  readonly guaranteed: (job: ActiveJob) => boolean;
-}
-
-/** In every other case, work does not preempt work of the same or a higher priority. */
-export const mayPreempt = (job: ActiveJob, victim: Attempt, rights: Rights): boolean => {
-  const v = victim.job.spec;
-  // A job counts with the priority of those that need it, on either side.
-  if (victim.job.priority < job.priority) return true;
-  if (v.team === job.spec.team || !rights.guaranteed(job)) return false;
-  return beyond(
-    rights.teams.find((t) => t.name === v.team),
-    rights.use.get(v.team),
-  );
-};
-
 interface Place {
   readonly machine: Machine;
   /** To stop for this place, beside what the machine's earlier places stop. */
--- a/packages/core/src/search.ts
+++ b/packages/core/src/decision/search.ts
@@ -5,8 +5,8 @@
  * alternatives for the first step.
  */
 import { Board, gpuKind, type Group, type Option, type Picture, type Step } from './board.js';
-import type { Micros } from './model.js';
-import { spreadLimit } from './room.js';
+import type { Micros } from '../model.js';
+import { spreadLimit } from '../base/room.js';
 
 /** Zones a job may still use: one already taken binds a job that must stay in one zone. */
 const zoneChoices = (b: Board, g: Group): readonly (string | null)[] => {
--- a/packages/core/src/endings.ts
+++ b/packages/core/src/jobs/endings.ts
@@ -1,9 +1,9 @@
 /** Reads how jobs ended, a few at a time: after taking over, every job that something still waits for. */
-import type { Context } from './context.js';
+import type { Context } from '../base/context.js';
 import type { End } from './dependencies.js';
-import { endedKey } from './keys.js';
-import { MILLI, SECOND, type Micros } from './model.js';
-import { readEnded } from './records.js';
+import { endedKey } from '../base/keys.js';
+import { MILLI, SECOND, type Micros } from '../model.js';
+import { readEnded } from '../base/records.js';
 
 const AT_ONCE = 6;
 
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -1,18 +1,18 @@
 /** Plans: which waiting work begins where now, by a search over the newest picture; only that is done. */
-import { stagesAhead } from './ahead.js';
-import type { Attempts } from './attempts.js';
-import type { Group, Step } from './board.js';
-import type { Clearing } from './clearing.js';
-import type { ActiveJob, Machine } from './cluster.js';
-import type { Dependencies } from './dependencies.js';
-import { HANDOVER } from './estate.js';
-import type { Fleet } from './fleet.js';
-import type { Imaging } from './imaging.js';
-import { MILLI, SECOND, type Micros } from './model.js';
-import type { Ordering } from './ordering.js';
-import { fits, placeAllowed, takeFrom } from './room.js';
-import { search } from './search.js';
-import type { Term } from './term.js';
+import { stagesAhead } from '../decision/ahead.js';
+import type { Attempts } from '../attempts/attempts.js';
+import type { Group, Step } from '../decision/board.js';
+import type { Clearing } from '../decision/clearing.js';
+import type { ActiveJob, Machine } from '../picture/cluster.js';
+import type { Dependencies } from '../jobs/dependencies.js';
+import { HANDOVER } from '../picture/estate.js';
+import type { Fleet } from '../machines/fleet.js';
+import type { Imaging } from '../decision/imaging.js';
+import { MILLI, SECOND, type Micros } from '../model.js';
+import type { Ordering } from '../decision/ordering.js';
+import { fits, placeAllowed, takeFrom } from '../base/room.js';
+import { search } from '../decision/search.js';
+import type { Term } from '../office/term.js';
 
 /** Tasks of one job that a play-out represents. */
 const MAX_REPRESENTED = 160;
--- a/packages/core/src/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -2,35 +2,35 @@
  * What the leader does in one term: joins the parts that know, decide and write, and looks after them twice a
  * second. A new leader makes a new scheduler.
  */
-import { Attempts } from './attempts.js';
-import { Cascade } from './cascade.js';
-import { Clearing } from './clearing.js';
-import { ActiveJob, type Attempt, type Machine } from './cluster.js';
-import { Completion } from './completion.js';
-import { Consolidation } from './consolidation.js';
-import type { Context } from './context.js';
-import { Dependencies, type DependencyHost } from './dependencies.js';
-import type { Desk } from './desk.js';
-import { Endings } from './endings.js';
-import { Fleet } from './fleet.js';
-import { Imaging } from './imaging.js';
-import { JOBS, MACHINES, PLACES, PROGRESS, ROSTER, TIMINGS, TYPES } from './keys.js';
-import type { Leadership, Office } from './leadership.js';
-import type { Item, MachineType, Micros, ProgressNote, Report, WorkerAnswer } from './model.js';
-import { MILLI, SECOND } from './model.js';
-import { Ordering } from './ordering.js';
-import { pageRoom } from './pages.js';
-import { Park } from './park.js';
+import { Attempts } from '../attempts/attempts.js';
+import { Cascade } from '../jobs/cascade.js';
+import { Clearing } from '../decision/clearing.js';
+import { ActiveJob, type Attempt, type Machine } from '../picture/cluster.js';
+import { Completion } from '../jobs/completion.js';
+import { Consolidation } from '../decision/consolidation.js';
+import type { Context } from '../base/context.js';
+import { Dependencies, type DependencyHost } from '../jobs/dependencies.js';
+import type { Desk } from '../users/desk.js';
+import { Endings } from '../jobs/endings.js';
+import { Fleet } from '../machines/fleet.js';
+import { Imaging } from '../decision/imaging.js';
+import { JOBS, MACHINES, PLACES, PROGRESS, ROSTER, TIMINGS, TYPES } from '../base/keys.js';
+import type { Leadership, Office } from '../office/leadership.js';
+import type { Item, MachineType, Micros, ProgressNote, Report, WorkerAnswer } from '../model.js';
+import { MILLI, SECOND } from '../model.js';
+import { Ordering } from '../decision/ordering.js';
+import { pageRoom } from '../records/pages.js';
+import { Park } from '../machines/park.js';
 import { Planner } from './planner.js';
-import { Features, type Feature } from './ports.js';
-import { ProgressBook } from './progress.js';
-import { bytesOf, readActive } from './records.js';
-import { Reports } from './reports.js';
-import { Roster } from './roster.js';
-import { Silence } from './silence.js';
-import { Takeover } from './takeover.js';
-import { Term } from './term.js';
-import { Writer } from './writer.js';
+import { Features, type Feature } from '../ports.js';
+import { ProgressBook } from '../records/progress.js';
+import { bytesOf, readActive } from '../base/records.js';
+import { Reports } from '../attempts/reports.js';
+import { Roster } from '../records/roster.js';
+import { Silence } from '../machines/silence.js';
+import { Takeover } from '../office/takeover.js';
+import { Term } from '../office/term.js';
+import { Writer } from '../records/writer.js';
 
 const SWEEP = 500 * MILLI;
 /** What could begin for no longer than this counts as having just come. */
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -1,11 +1,11 @@
 /** Renting and returning machines. What to rent comes from the same play-out that places tasks. */
-import type { Context } from './context.js';
-import type { Machine } from './cluster.js';
-import type { CloudReply, JobSpec, ListedMachine, Micros } from './model.js';
-import { SECOND } from './model.js';
-import type { Group, Rentable } from './board.js';
-import type { Decision } from './search.js';
-import { typeAllowed } from './room.js';
+import type { Context } from '../base/context.js';
+import type { Machine } from '../picture/cluster.js';
+import type { CloudReply, JobSpec, ListedMachine, Micros } from '../model.js';
+import { SECOND } from '../model.js';
+import type { Group, Rentable } from '../decision/board.js';
+import type { Decision } from '../decision/search.js';
+import { typeAllowed } from '../base/room.js';
 
 interface Offer {
   refusedUntil: Micros;
--- a/packages/core/src/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -2,10 +2,10 @@
  * One leader with a lease and a term in the state service. The leader's right ends by its own steady
  * clock, counted from when the last successful renewal was sent, less what clocks may drift.
  */
-import type { Context } from './context.js';
-import { LEAD, TERM } from './keys.js';
-import type { Micros, StateReply } from './model.js';
-import { MILLI, SECOND } from './model.js';
+import type { Context } from '../base/context.js';
+import { LEAD, TERM } from '../base/keys.js';
+import type { Micros, StateReply } from '../model.js';
+import { MILLI, SECOND } from '../model.js';
 
 /** Steady clocks drift apart by up to 0.05%; twice that is taken off every lease. */
 export const DRIFT = 0.001;
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/office/takeover.ts
@@ -1,7 +1,7 @@
 /** What a new leader reads of its predecessors, and how it hears of jobs from then on. */
-import { MACHINES, JOBS, PLACES, PROGRESS, ROSTER, TIMINGS } from './keys.js';
-import type { Item, Micros, StateEvent } from './model.js';
-import { MILLI } from './model.js';
+import { MACHINES, JOBS, PLACES, PROGRESS, ROSTER, TIMINGS } from '../base/keys.js';
+import type { Item, Micros, StateEvent } from '../model.js';
+import { MILLI } from '../model.js';
 import type { Term } from './term.js';
 
 const PAGE = 500;
--- a/packages/core/src/term.ts
+++ b/packages/core/src/office/term.ts
@@ -1,9 +1,9 @@
 /** What the parts of one leader's term share: the office, what is known, and whether it is still on. */
-import type { Machine } from './cluster.js';
-import type { Context } from './context.js';
-import { Estate } from './estate.js';
+import type { Machine } from '../picture/cluster.js';
+import type { Context } from '../base/context.js';
+import { Estate } from '../picture/estate.js';
 import type { Leadership, Office } from './leadership.js';
-import type { Micros } from './model.js';
+import type { Micros } from '../model.js';
 
 /** Room for raising the token and numbering attempts within a term; products stay below 2^53. */
 const TOKENS_PER_TERM = 2 ** 20;
--- a/packages/core/src/aims.ts
+++ b/packages/core/src/picture/aims.ts
@@ -3,7 +3,7 @@
  * 11.2): here it follows the operators' objectives, so that few jobs miss the next one that they can meet.
  */
 import { dueOf, type ActiveJob } from './cluster.js';
-import type { Micros, Objective } from './model.js';
+import type { Micros, Objective } from '../model.js';
 
 /**
  * Latest start that still meets the earliest aim within reach, from now; null when no aim is. `due_s` counts
--- a/packages/core/src/estate.ts
+++ b/packages/core/src/picture/estate.ts
@@ -1,10 +1,10 @@
 /** What the leader knows in one term, and what it predicts from that. Changes nothing. */
 import { latestStart } from './aims.js';
 import type { Attempt, Machine, ActiveJob } from './cluster.js';
-import type { Context } from './context.js';
-import { SECOND, type Micros } from './model.js';
-import type { Rights } from './preemption.js';
-import { typeAllowed } from './room.js';
+import type { Context } from '../base/context.js';
+import { SECOND, type Micros } from '../model.js';
+import type { Rights } from './rights.js';
+import { typeAllowed } from '../base/room.js';
 import { guaranteedJobs, Usage } from './teams.js';
 import { Timings } from './timings.js';
 
--- /dev/null
+++ b/packages/core/src/picture/slot.ts
@@ -0,0 +1,26 @@
+/** A machine as a plan sees it. */
+import type { MachineType, Micros } from '../model.js';
+import type { Amounts } from '../base/room.js';
+
+/** Room that changes at a later time: what ends gives room, what is planned takes it. */
+export interface Change extends Amounts {
+  readonly at: Micros;
+}
+
+/** A machine in the picture: up, booting, or only rentable. */
+export interface Slot {
+  readonly key: string;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** Costs the same whether it is used or not: it is never returned. */
+  readonly sunk: boolean;
+  /** Null for a machine that would have to be rented. */
+  readonly machine: string | null;
+  readonly ready: Micros;
+  /** Room at `ready`. */
+  free: Readonly<Amounts>;
+  changes: readonly Change[];
+  images: ReadonlySet<string>;
+  used: boolean;
+}
--- a/packages/core/src/teams.ts
+++ b/packages/core/src/picture/teams.ts
@@ -1,6 +1,6 @@
 /** Turns of the teams, and their limits. */
 import type { ActiveJob } from './cluster.js';
-import type { JobSpec, Team } from './model.js';
+import type { JobSpec, Team } from '../model.js';
 
 export class Usage {
   private readonly cores = new Map<string, number>();
--- a/packages/core/src/timings.ts
+++ b/packages/core/src/picture/timings.ts
@@ -3,9 +3,9 @@
  * groups borrow from broader ones; stopped runs are censored observations, not short runs.
  * (Paper, 9.3: stratified empirical distributions with shrinkage, residuals from survival.)
  */
-import type { Micros } from './model.js';
-import { SECOND } from './model.js';
-import { bytesOf } from './records.js';
+import type { Micros } from '../model.js';
+import { SECOND } from '../model.js';
+import { bytesOf } from '../base/records.js';
 
 interface Sample {
   readonly ratio: number;
--- a/packages/core/src/large-progress.ts
+++ b/packages/core/src/records/large-progress.ts
@@ -6,8 +6,8 @@
  * other parts it finds at places where no task is, so tasks may be started again, but none counts as done
  * that is not.
  */
-import { progressKey } from './keys.js';
-import { readProgress, type Bits, type ProgressRecord } from './records.js';
+import { progressKey } from '../base/keys.js';
+import { readProgress, type Bits, type ProgressRecord } from '../base/records.js';
 import type { Urgent, Writer } from './writer.js';
 
 /** `{"machines":[],"bits":"","from":...}` and some reserve. */
--- a/packages/core/src/pages.ts
+++ b/packages/core/src/records/pages.ts
@@ -10,8 +10,8 @@
  * a record is what all its copies say together. Pages that have become too large are taken apart likewise:
  * copies are written and confirmed first, the old page is emptied last.
  */
-import type { Item } from './model.js';
-import { bytesOf } from './records.js';
+import type { Item } from '../model.js';
+import { bytesOf } from '../base/records.js';
 import type { Urgent, Writer } from './writer.js';
 
 interface Page {
--- a/packages/core/src/roster.ts
+++ b/packages/core/src/records/roster.ts
@@ -1,9 +1,9 @@
 /** Machines on record: nothing is started on one that is not, and what is to be deleted is marked first. */
-import type { Machine } from './cluster.js';
-import { machineKey, MACHINES, ROSTER } from './keys.js';
-import type { Item } from './model.js';
+import type { Machine } from '../picture/cluster.js';
+import { machineKey, MACHINES, ROSTER } from '../base/keys.js';
+import type { Item } from '../model.js';
 import { Pages, readPage } from './pages.js';
-import { bytesOf, readMachine, type MachineRecord } from './records.js';
+import { bytesOf, readMachine, type MachineRecord } from '../base/records.js';
 import type { Urgent, Writer } from './writer.js';
 
 /** Marks that are not set are left out: both versions read that as false, and pages are small. */
--- a/packages/core/test/dependencies.test.ts
+++ b/packages/core/test/dependencies.test.ts
@@ -1,10 +1,10 @@
 /** Jobs that wait for others: held, released, withdrawn, and what they lend to those before them. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Dependencies } from '@shaleyoke/core/dependencies';
-import { ActiveJob, dueOf } from '@shaleyoke/core/cluster';
+import { Dependencies } from '@shaleyoke/core/jobs/dependencies';
+import { ActiveJob, dueOf } from '@shaleyoke/core/picture/cluster';
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
-import { activeRecord, bytesOf, endedRecord, readActive, readEnded } from '@shaleyoke/core/records';
+import { activeRecord, bytesOf, endedRecord, readActive, readEnded } from '@shaleyoke/core/base/records';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -1,13 +1,14 @@
 /** Fixtures for the play-out and the search, some from the paper (10.2, 12.1). */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { latestStart, mergeOrders, orderByAims } from '@shaleyoke/core/aims';
-import { attemptKey, Machine, type Attempt, ActiveJob } from '@shaleyoke/core/cluster';
+import { latestStart, mergeOrders, orderByAims } from '@shaleyoke/core/picture/aims';
+import { attemptKey, Machine, type Attempt, ActiveJob } from '@shaleyoke/core/picture/cluster';
 import { SECOND, type JobSpec, type MachineType } from '@shaleyoke/core/model';
-import { Board, type Group, type Picture, type Rentable, type Slot } from '@shaleyoke/core/board';
-import { Clearings } from '@shaleyoke/core/preemption';
-import { placeGroup, playOut, search } from '@shaleyoke/core/search';
-import { Timings } from '@shaleyoke/core/timings';
+import { Board, type Group, type Picture, type Rentable } from '@shaleyoke/core/decision/board';
+import type { Slot } from '@shaleyoke/core/picture/slot';
+import { Clearings } from '@shaleyoke/core/decision/preemption';
+import { placeGroup, playOut, search } from '@shaleyoke/core/decision/search';
+import { Timings } from '@shaleyoke/core/picture/timings';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { TYPE } from '@shaleyoke/emulator/world';
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -21,9 +21,9 @@
   UserAnswer,
 } from '@shaleyoke/core/model';
 import { MILLI, SECOND } from '@shaleyoke/core/model';
-import { activeKey } from '@shaleyoke/core/keys';
+import { activeKey } from '@shaleyoke/core/base/keys';
 import type { Feature } from '@shaleyoke/core/ports';
-import { readActive } from '@shaleyoke/core/records';
+import { readActive } from '@shaleyoke/core/base/records';
 import { parseSettings } from '@shaleyoke/settings/settings';
 import { Network } from './network.js';
 import type { Random } from './random.js';
--- a/packages/kube/test/front.test.ts
+++ b/packages/kube/test/front.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { SECOND, type JobSpec, type Team } from '@shaleyoke/core/model';
-import { readActive } from '@shaleyoke/core/records';
+import { readActive } from '@shaleyoke/core/base/records';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
--- a/packages/protocol/test/formats.test.ts
+++ b/packages/protocol/test/formats.test.ts
@@ -9,7 +9,7 @@
 import { decodeStateReply } from '@shaleyoke/protocol/state';
 import { decodeSubmission, route } from '@shaleyoke/protocol/users';
 import { decodeOrdersReply, decodeReport } from '@shaleyoke/protocol/workers';
-import { Bits } from '@shaleyoke/core/records';
+import { Bits } from '@shaleyoke/core/base/records';
 
 const seed = { seed: 20261, numRuns: 300 };
 
--- a/packages/shaleyoke/src/main.ts
+++ b/packages/shaleyoke/src/main.ts
@@ -4,7 +4,7 @@
 import { Effect, Layer } from 'effect';
 import type { Item, Settings, StateOp, StateReply } from '@shaleyoke/core/model';
 import type { Feature } from '@shaleyoke/core/ports';
-import { JOBS, LEAD, ROSTER } from '@shaleyoke/core/keys';
+import { JOBS, LEAD, ROSTER } from '@shaleyoke/core/base/keys';
 import { Clients, ClientsLive } from '@shaleyoke/runtime/clients';
 import { logLevel, LogLive } from '@shaleyoke/runtime/log';
 import { runNode, type FeatureListener } from '@shaleyoke/runtime/node';
