Emulator: cloud, workers, users, work and time stand apart from the world that joins them

Change: cloud-model, workers-model, users-model, work (what there is to do and what is done), timeline and site come out of it; world.ts keeps the nodes and the transport between parties.

Result: no behaviour of the service changes; the same histories hold.

--- a/packages/budgets/test/histories.test.ts
+++ b/packages/budgets/test/histories.test.ts
@@ -6,7 +6,7 @@
 import { SECOND, type JobSpec } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
-import { TYPE } from '@shaleyoke/emulator/world';
+import { TYPE } from '@shaleyoke/emulator/site';
 import { chargedMoney, chargedUs, play, REPORT, teams, view } from './played.js';
 
 test('a quiet day is charged as it ran, and the records say so by themselves', () => {
@@ -29,9 +29,9 @@
   assert.equal(b.cost, b.charged + b.pending + Object.values(b.platform).reduce((x, y) => x + y, 0));
   let bill = 0;
   const head = v.head!;
-  for (const m of w.bills.values())
+  for (const m of w.cloud.bills.values())
     bill += (((m.to ?? head.w - w.wallStart) - m.from) / 3.6e9) * TYPE.price * 1e6;
-  assert.ok(Math.abs(bill - b.cost) < w.bills.size * 2500, `cloud ${bill}, books ${b.cost}`);
+  assert.ok(Math.abs(bill - b.cost) < w.cloud.bills.size * 2500, `cloud ${bill}, books ${b.cost}`);
 });
 
 test('nothing is billed twice and the books balance, whatever crashes, is cut off, lost or late', () => {
@@ -77,8 +77,8 @@
       for (const s of specs) {
         // A task that hangs runs for longer; how long its longest run was, its workers know.
         let limit = s.tasks * 2 * REPORT;
-        for (let i = 0; i < s.tasks; i++) limit += w.longestUs.get(`${s.id}/${i}`) ?? 0;
-        if (!w.asked.has(s.id))
+        for (let i = 0; i < s.tasks; i++) limit += w.work.longestUs.get(`${s.id}/${i}`) ?? 0;
+        if (!w.users.asked.has(s.id))
           assert.ok(chargedUs(v, s.id) <= limit, `seed ${seed} ${s.id}: ${chargedUs(v, s.id)} > ${limit}`);
       }
     }
@@ -93,7 +93,7 @@
     for (const s of specs) {
       const us = chargedUs(v, s.id);
       const attempts = s.tasks * 40;
-      assert.ok(us <= (w.ranUs.get(s.id) ?? 0) + attempts * REPORT, `seed ${seed} ${s.id}`);
+      assert.ok(us <= (w.work.ranUs.get(s.id) ?? 0) + attempts * REPORT, `seed ${seed} ${s.id}`);
       charged += us;
     }
     const b = balanceOf(v);
@@ -222,7 +222,7 @@
   assert.equal(w.stageOf('run-1'), 'done');
   const us = chargedUs(v, 'run-1');
   assert.ok(us > 3 * 56 * SECOND && us < 3 * (60 * SECOND + REPORT), `${us / SECOND}`);
-  assert.ok(w.ranUs.get('run-1')! > 4 * 60 * SECOND, 'it did run more than once');
+  assert.ok(w.work.ranUs.get('run-1')! > 4 * 60 * SECOND, 'it did run more than once');
   assert.ok(balanceOf(v).platform.lost > 0);
 });
 
--- a/packages/budgets/test/limits.test.ts
+++ b/packages/budgets/test/limits.test.ts
@@ -135,7 +135,7 @@
     w.runFor(2 * SECOND);
     // Nothing is stopped part-way for money: whatever began is done.
     for (const s of specs)
-      if ((w.ranUs.get(s.id) ?? 0) > 0)
+      if ((w.work.ranUs.get(s.id) ?? 0) > 0)
         assert.equal(w.stageOf(s.id), 'done', `seed ${seed} ${s.id}: ${w.stageOf(s.id)}`);
     assert.deepEqual([...new Set(w.broken)].slice(0, 4), [], `seed ${seed}`);
   }
--- a/packages/core/test/cuts.test.ts
+++ b/packages/core/test/cuts.test.ts
@@ -6,7 +6,8 @@
 import { SECOND } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
-import { settingsFor, World } from '@shaleyoke/emulator/world';
+import { settingsFor } from '@shaleyoke/emulator/site';
+import { World } from '@shaleyoke/emulator/world';
 
 const NAMES = ['n0', 'n1', 'n2'];
 
--- a/packages/core/test/pages.test.ts
+++ b/packages/core/test/pages.test.ts
@@ -12,7 +12,7 @@
 import { Writer } from '@shaleyoke/core/records/writer';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
-import { settingsFor } from '@shaleyoke/emulator/world';
+import { settingsFor } from '@shaleyoke/emulator/site';
 
 const settings = settingsFor('n0', ['n0'], '[[cluster.teams]]\nname = "t"\n');
 
--- a/packages/core/test/rules.test.ts
+++ b/packages/core/test/rules.test.ts
@@ -130,7 +130,7 @@
   assert.ok(before.length >= 3);
   for (const x of before) w.killWorker(x);
   // The cloud can't tell either.
-  w.cloudDownUntil = w.now + 100 * SECOND;
+  w.cloud.downUntil = w.now + 100 * SECOND;
   w.runFor(90 * SECOND);
   const leader = w.nodes.find((n) => n.core?.leads() === true);
   w.runFor(8 * SECOND);
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -11,7 +11,7 @@
 import { Timings } from '@shaleyoke/core/picture/timings';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
-import { TYPE } from '@shaleyoke/emulator/world';
+import { TYPE } from '@shaleyoke/emulator/site';
 
 const typeOf = (name: string, more: Partial<MachineType> = {}): MachineType => ({ ...TYPE, name, ...more });
 
--- /dev/null
+++ b/packages/emulator/src/workers-model.ts
@@ -0,0 +1,347 @@
+/** Workers as a model: tasks, gangs, sessions and leases, with the rules checked at each start. */
+import type {
+  JobSpec,
+  ListedMachine,
+  Micros,
+  Order,
+  OrdersReply,
+  Report,
+  ReportedTask,
+  WorkerAnswer,
+} from '@shaleyoke/core/model';
+import { MILLI, SECOND } from '@shaleyoke/core/model';
+import type { Machines } from './cloud-model.js';
+import type { Random } from './random.js';
+import { TYPE } from './site.js';
+import type { Work } from './work.js';
+
+const REPORT: Micros = 3 * SECOND;
+const LEASE: Micros = 20 * SECOND;
+/** A worker gives a report up after that, and goes on to the next node a second later. */
+const REPORT_PATIENCE: Micros = 4 * SECOND;
+export const CANCEL: Micros = 40 * SECOND;
+
+interface SimTask {
+  job: string;
+  index: number;
+  attempt: number;
+  state: ReportedTask['state'];
+  cause: ReportedTask['cause'];
+  saved: boolean;
+  /** When the state changes by itself. */
+  until: Micros;
+  /** When it began to run. */
+  since: Micros | null;
+}
+
+export interface Worker {
+  name: string;
+  zone: string;
+  spot: boolean;
+  upAt: Micros;
+  alive: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  answered: Micros;
+  node: number;
+  nextReport: Micros;
+  tasks: SimTask[];
+  /** Hangs or is cut off until then. */
+  cutUntil: Micros;
+}
+
+export interface WorkersHost {
+  readonly now: Micros;
+  readonly nodes: number;
+  /** A job's description as its worker fetches it, whoever submitted the job. */
+  describe(id: string): JobSpec | undefined;
+  /** When its user was told that the job is cancelled. */
+  cancelledAt(id: string): Micros | undefined;
+  broke(what: string): void;
+  /** A report is due. */
+  report(w: Worker): void;
+  /** The machine is gone. */
+  ended(name: string): void;
+}
+
+export class WorkersModel implements Machines {
+  readonly all = new Map<string, Worker>();
+  starts = 0;
+  private nextMachine = 1;
+
+  constructor(
+    private readonly host: WorkersHost,
+    private readonly work: Work,
+    private readonly random: Random,
+    private readonly limitCores: number,
+  ) {}
+
+  private get now(): Micros {
+    return this.host.now;
+  }
+
+  // ---- machines, as the cloud sees them ----------------------------------------------------------
+
+  inZone(zone: string): number {
+    return [...this.all.values()].filter((w) => w.alive && w.zone === zone).length;
+  }
+
+  boot(zone: string, spot: boolean): string {
+    const name = `m-${String(this.nextMachine++).padStart(6, '0')}`;
+    const upAt = this.now + TYPE.bootUs * (0.6 + 0.9 * this.random.next());
+    this.all.set(name, {
+      name,
+      zone,
+      spot,
+      upAt,
+      alive: true,
+      session: 1,
+      seq: 0,
+      token: 0,
+      answered: upAt,
+      node: this.random.below(this.host.nodes),
+      nextReport: upAt,
+      tasks: [],
+      cutUntil: 0,
+    });
+    return name;
+  }
+
+  end(name: string): void {
+    const w = this.all.get(name);
+    if (w !== undefined) this.kill(w);
+  }
+
+  list(): ListedMachine[] {
+    return [...this.all.values()]
+      .filter((w) => w.alive)
+      .map((w) => ({
+        name: w.name,
+        address: w.name,
+        type: TYPE.name,
+        zone: w.zone,
+        spot: w.spot,
+        state: this.now >= w.upAt ? ('running' as const) : ('booting' as const),
+        ageUs: 0,
+      }));
+  }
+
+  kill(w: Worker): void {
+    this.host.ended(w.name);
+    for (const t of w.tasks) this.noteRun(t);
+    w.alive = false;
+    w.tasks = [];
+  }
+
+  // ---- reports -----------------------------------------------------------------------------------
+
+  reportOf(w: Worker): Report {
+    return {
+      machine: w.name,
+      address: w.name,
+      type: TYPE.name,
+      zone: w.zone,
+      spot: w.spot,
+      session: w.session,
+      seq: ++w.seq,
+      token: w.token,
+      noticeUs: null,
+      tasks: w.tasks.map(({ job, index, attempt, state, cause, saved }) => ({
+        job,
+        index,
+        attempt,
+        state,
+        cause,
+        saved,
+      })),
+    };
+  }
+
+  /** The answer to a report that was sent in this session, at that time. `to`: the node that an answer names, if known. */
+  answered(w: Worker, session: number, sent: Micros, a: WorkerAnswer, to: number): void {
+    if (!w.alive || w.session !== session || this.now < w.cutUntil) return;
+    if (a.kind === 'accepted') {
+      if (a.token < w.token) return;
+      w.token = a.token;
+      w.answered = sent;
+      for (const o of a.orders) this.execute(w, o);
+    } else if (to >= 0 && to !== w.node) {
+      w.node = to;
+      w.nextReport = this.now + 100 * MILLI;
+    } else this.nextNode(w);
+  }
+
+  nextNode(w: Worker): void {
+    w.node = (w.node + 1) % this.host.nodes;
+    w.nextReport = this.now + SECOND;
+  }
+
+  /** Nobody answers within the worker's patience. */
+  unanswered(w: Worker): void {
+    this.nextNode(w);
+    w.nextReport += REPORT_PATIENCE;
+  }
+
+  // ---- orders ------------------------------------------------------------------------------------
+
+  /** Direct commands: executed if token and session still match. */
+  orders(name: string, token: number, session: number, orders: readonly Order[]): OrdersReply {
+    const w = this.all.get(name);
+    if (w === undefined || !w.alive || this.now < w.upAt) return { kind: 'lost', report: null };
+    if (token < w.token || session !== w.session) return { kind: 'refused', report: this.reportOf(w) };
+    w.token = token;
+    for (const o of orders) this.execute(w, o);
+    return { kind: 'executed', report: this.reportOf(w) };
+  }
+
+  private execute(w: Worker, o: Order): void {
+    const t = w.tasks.find((x) => x.job === o.job && x.index === o.index);
+    if (o.op === 'forget') {
+      w.tasks = w.tasks.filter((x) => x !== t || x.attempt !== o.attempt || x.state !== 'exited');
+      return;
+    }
+    if (o.op === 'stop') {
+      if (t !== undefined && t.attempt === o.attempt && t.state !== 'exited') {
+        this.noteRun(t);
+        t.state = 'exited';
+        t.cause = 'stopped';
+      }
+      return;
+    }
+    if (t !== undefined && t.attempt === o.attempt) return;
+    if (t !== undefined && t.state !== 'exited') {
+      w.tasks.push({ ...o, state: 'exited', cause: 'busy', saved: false, until: 0, since: null });
+      return;
+    }
+    w.tasks = w.tasks.filter((x) => x !== t);
+    this.checkStart(w, o);
+    w.tasks.push({
+      job: o.job,
+      index: o.index,
+      attempt: o.attempt,
+      state: 'fetching',
+      cause: null,
+      saved: false,
+      until: this.now + 500 * MILLI,
+      since: null,
+    });
+  }
+
+  /** The rules, checked at the moment of a start. */
+  private checkStart(w: Worker, o: Order & { op: 'start' }): void {
+    this.starts++;
+    const spec = this.host.describe(o.job);
+    if (spec === undefined) {
+      this.host.broke(`start of unknown ${o.job}`);
+      return;
+    }
+    for (const n of spec.needs)
+      if (!this.work.isDone(n)) this.host.broke(`too_early ${o.job}/${o.index}: ${n} is not done`);
+    const told = this.host.cancelledAt(o.job);
+    if (told !== undefined && this.now > told + CANCEL) this.host.broke(`ran_cancelled ${o.job}`);
+    let cores = spec.cores;
+    const zones = new Map<string, number>([[w.zone, 1]]);
+    for (const other of this.all.values()) {
+      if (!other.alive) continue;
+      for (const t of other.tasks) {
+        if (t.state === 'exited') continue;
+        const s = this.work.specs.get(t.job);
+        if (s?.team === spec.team) cores += s.cores;
+        if (t.job !== o.job) continue;
+        if (t.index === o.index)
+          this.host.broke(`ran_twice ${o.job}/${o.index} on ${w.name} and ${other.name}`);
+        zones.set(other.zone, (zones.get(other.zone) ?? 0) + 1);
+      }
+    }
+    if (cores > this.limitCores) this.host.broke(`quota ${o.job}: ${cores}`);
+    if (spec.sameZone && zones.size > 1) this.host.broke(`wrong_place ${o.job}: zones`);
+    if (spec.spread && (zones.get(w.zone) ?? 0) > Math.ceil(spec.tasks / 2))
+      this.host.broke(`wrong_place ${o.job}: spread`);
+    if ((spec.zone !== null && spec.zone !== w.zone) || (w.spot && !spec.spot))
+      this.host.broke(`wrong_place ${o.job}: ${w.zone}`);
+    const used = w.tasks
+      .filter((t) => t.state !== 'exited')
+      .reduce((n, t) => n + (this.work.specs.get(t.job)?.cores ?? 0), 0);
+    if (used + spec.cores > TYPE.cores) this.host.broke(`no room on ${w.name}`);
+  }
+
+  // ---- time --------------------------------------------------------------------------------------
+
+  run(): void {
+    for (const w of this.all.values()) {
+      if (!w.alive || this.now < w.upAt) continue;
+      if (this.now > w.answered + LEASE) {
+        for (const t of w.tasks) this.noteRun(t);
+        w.tasks = [];
+        w.session++;
+        w.seq = 0;
+        w.answered = this.now;
+      }
+      if (this.now < w.cutUntil) continue;
+      let changed = false;
+      for (const t of w.tasks) {
+        if (t.state === 'exited' || this.now < t.until) continue;
+        const spec = this.work.specs.get(t.job)!;
+        if (t.state === 'fetching') {
+          t.state = spec.shape === 'gang' ? 'waiting' : 'running';
+          if (t.state === 'running') t.since = this.now;
+          t.until = this.now + spec.estimateUs;
+        } else if (t.state === 'running') {
+          this.noteRun(t);
+          t.state = 'exited';
+          t.cause = 'done';
+          this.work.complete(t.job, t.index);
+        }
+        changed = true;
+      }
+      if (changed) w.nextReport = Math.min(w.nextReport, this.now + 50 * MILLI);
+      if (this.now < w.nextReport) continue;
+      w.nextReport = this.now + REPORT;
+      this.host.report(w);
+    }
+    this.runGangs();
+  }
+
+  private noteRun(t: SimTask): void {
+    if (t.since === null || t.state === 'exited') return;
+    this.work.ran(t.job, t.index, this.now - t.since);
+  }
+
+  private runGangs(): void {
+    const gangs = new Map<string, SimTask[]>();
+    for (const w of this.all.values())
+      if (w.alive)
+        for (const t of w.tasks)
+          if (t.state !== 'exited' && this.work.specs.get(t.job)?.shape === 'gang') {
+            const key = `${t.job}|${t.attempt}`;
+            gangs.set(key, [...(gangs.get(key) ?? []), t]);
+          }
+    for (const members of gangs.values()) {
+      const spec = this.work.specs.get(members[0]!.job)!;
+      if (members.length === spec.tasks && members.every((t) => t.state === 'waiting'))
+        for (const t of members) {
+          t.state = 'running';
+          t.since = this.now;
+          t.until = this.now + spec.estimateUs;
+        }
+      else if (members.length < spec.tasks && !this.work.completed.has(spec.id))
+        for (const t of members)
+          if (t.state === 'running') {
+            this.noteRun(t);
+            t.state = 'exited';
+            t.cause = 'peers';
+          }
+    }
+  }
+
+  /** Tasks of a cancelled job are gone within the time that the protocol gives. */
+  checkCancelled(cancelled: ReadonlyMap<string, Micros>): void {
+    for (const [id, at] of cancelled) {
+      if (this.now <= at + CANCEL) continue;
+      for (const w of this.all.values())
+        if (w.alive && w.tasks.some((t) => t.job === id && t.state !== 'exited'))
+          this.host.broke(`ran_cancelled ${id} on ${w.name}`);
+    }
+  }
+}
--- a/packages/kube/test/front.test.ts
+++ b/packages/kube/test/front.test.ts
@@ -180,7 +180,7 @@
   // A team never comes from the client.
   object(ask(w, 0, { ...create('b'), team: 'u' } as KubeRequest));
   assert.equal(readActive(w.value(w.keys('j/')[0]!))?.spec.team, 't');
-  w.asked.add(w.keys('j/')[0]!.slice(2));
+  w.users.asked.add(w.keys('j/')[0]!.slice(2));
   assert.equal(code(ask(w, 0, remove('b'))), 'deleted');
   w.runFor(60 * SECOND);
   assert.deepEqual([...w.keys('k/o/'), ...w.keys('k/m/'), ...w.keys('j/')], []);
@@ -213,7 +213,7 @@
   );
   object(ask(w, 0, create('brief', { spec: { ttlSecondsAfterFinished: 30 } })));
   const id = readObject(w.value('k/o/job/maps/slow'))!.id;
-  w.asked.add(id);
+  w.users.asked.add(id);
   w.runFor(45 * SECOND);
   // Its leader dies between what it says and what it does.
   w.crash(
@@ -518,7 +518,7 @@
       }
       if (r.chance(0.35)) {
         const o = readObject(w.value(`k/o/job/maps/${name}`));
-        if (o !== null) w.asked.add(o.id);
+        if (o !== null) w.users.asked.add(o.id);
         w.askFeature(r.below(3), FEATURE, { who: WHO, ask: remove(name) }, () => undefined);
       }
       if (r.chance(0.2)) w.crash(r.below(3), (2 + r.below(5)) * SECOND);
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { SECOND } from '@shaleyoke/core/model';
 import { parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
-import { settingsFor } from '@shaleyoke/emulator/world';
+import { settingsFor } from '@shaleyoke/emulator/site';
 
 test('the leader lease never outgrows half of what cancel_s leaves beside lease_s', () => {
   const s = settingsFor('a', ['a'], '');
