Membership: controllers send beats, suspect by silence, and send users away from a cut-off node

Need: nodes knew nothing of one another. One that alone lost the state service kept its users, for whom it could do nothing, since by itself it can't tell that from an outage.

Each node tells each other once a second that it is there: number of its process, its office, when the state service last answered it, how late it is, and whom it hears. Silence is suspected beyond three beats or mean and six deviations of earlier gaps, longer by as much as the watcher is late itself; a newer beat refutes it. Nothing rests on suspicion: it is logged with what the others say. /healthz says 503 if the link to the state service is lost, a peer was answered after that, and a later call of this node failed as well.

Ruled out: probes through a third (the table in each beat tells the same), a verdict by the detector, a majority of peers that ends a lease (no gain without waiting out the right).

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -11,6 +11,7 @@
 // Within the core: each folder may import those before it (docs/architecture.md); the files beside them are the door.
 const LAYERS = [
   'base',
+  'membership',
   'picture',
   'records',
   'office',
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -2,8 +2,18 @@
 import { Context } from './base/context.js';
 import { Desk } from './users/desk.js';
 import { TYPES } from './base/keys.js';
+import { Beats } from './membership/beats.js';
 import { Leadership } from './office/leadership.js';
-import type { CoreEffect, Input, MachineType, Micros, Report, Settings, WorkerAnswer } from './model.js';
+import type {
+  CoreEffect,
+  Input,
+  MachineType,
+  Micros,
+  PeerMessage,
+  Report,
+  Settings,
+  WorkerAnswer,
+} from './model.js';
 import { MILLI, SECOND } from './model.js';
 import { readTypes } from './base/records.js';
 import type { Feature, NodePart } from './ports.js';
@@ -13,6 +23,8 @@
   private readonly ctx: Context;
   private readonly desk: Desk;
   private readonly leadership: Leadership;
+  /** Null: switched off. */
+  private readonly beats: Beats | null;
   private scheduler: Scheduler | null = null;
   private savedTypes = false;
   private readonly parts = new Map<string, NodePart>();
@@ -25,7 +37,7 @@
     features: readonly Feature[] = [],
   ) {
     this.ctx = new Context(settings, stopwatch, verbose);
-    this.desk = new Desk(this.ctx);
+    this.desk = new Desk(this.ctx, () => this.beats?.servedElsewhere() ?? false);
     for (const f of features) {
       const part = f.serve?.({
         ctx: this.ctx,
@@ -47,6 +59,12 @@
         this.scheduler = null;
       },
     );
+    this.beats =
+      settings.membership === null || settings.peers.length === 0
+        ? null
+        : new Beats(this.ctx, settings.membership, () =>
+            this.leadership.hasRight() ? (this.leadership.office?.term ?? null) : null,
+          );
   }
 
   step(now: Micros, input: Input): CoreEffect[] {
@@ -73,6 +91,7 @@
       case 'start':
         this.ctx.wallOffset = input.wallUs - this.ctx.now;
         this.leadership.start();
+        this.beats?.start(input.wallUs);
         this.learnTypes(0);
         return;
       case 'timer':
@@ -91,6 +110,7 @@
         this.desk.handle(input.request, input.body);
         return;
       case 'report':
+        this.beats?.came(input.report.machine);
         this.ctx.emit({
           kind: 'answerWorker',
           request: input.request,
@@ -102,13 +122,18 @@
         this.parts.get(input.feature)?.asked(input.request, input.body);
         return;
       case 'peer':
-        // Counts of an office that is over are older than those of the next.
-        if (this.leadership.heard(input.message.member, input.message.term))
-          this.desk.noteProgress(input.message);
+        this.hear(input.message);
         return;
     }
   }
 
+  private hear(m: PeerMessage): void {
+    const newest = m.term !== null && this.leadership.heard(m.member, m.term);
+    if (m.kind === 'beat') this.beats?.take(m);
+    // Counts of an office that is over are older than those of the next.
+    else if (newest) this.desk.noteProgress(m);
+  }
+
   private answerReport(r: Report): WorkerAnswer {
     if (this.scheduler !== null && this.leadership.hasRight()) return this.scheduler.onReport(r);
     if (this.scheduler !== null) {
--- /dev/null
+++ b/packages/core/src/membership/beats.ts
@@ -0,0 +1,116 @@
+/** Sends this node's beats, takes those of the others, and logs what that changes. */
+import type { Context } from '../base/context.js';
+import type { Beat, Membership, Micros } from '../model.js';
+import { MILLI, SECOND } from '../model.js';
+import { Members, type Change } from './members.js';
+
+/** A peer's word counts for an interruption of this node's own link only if it got an answer so long after that began. */
+const AFTER: Micros = 500 * MILLI;
+/** A peer's good answer that is older than that says nothing of now. */
+const STALE: Micros = 5 * SECOND;
+/** A worker that has not come for so many of its intervals is none that reaches this node. */
+const REPORTS = 2.5;
+
+export class Beats {
+  readonly members: Members;
+  /** Workers that came, and when they last did. */
+  private readonly workers = new Map<string, Micros>();
+  private incarnation = 0;
+  private dueAt: Micros = 0;
+  private lateUs: Micros = 0;
+  /** When a peer first had a good answer during the present interruption of this node's link; null: none had. */
+  private elsewhereAt: Micros | null = null;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly settings: Membership,
+    /** The term of the office that is held with right now; null: none. */
+    private readonly term: () => number | null,
+  ) {
+    this.members = new Members(
+      settings,
+      ctx.settings.peers.map((p) => p.member),
+      () => ctx.now,
+    );
+  }
+
+  /** `wallUs`: time of day; a process that starts later on the same node has a later one. */
+  start(wallUs: Micros): void {
+    this.incarnation = Math.max(1, Math.floor(wallUs / MILLI));
+    this.dueAt = this.ctx.now;
+    this.tick();
+  }
+
+  take(b: Beat): void {
+    this.tell(this.members.take(b));
+    const since = this.ctx.link.downSince;
+    if (since === null || this.members.reachesState(since + AFTER) === null) this.elsewhereAt = null;
+    else this.elsewhereAt ??= this.ctx.now;
+  }
+
+  /** A worker reported to this node, whatever it was answered. */
+  came(machine: string): void {
+    this.workers.set(machine, this.ctx.now);
+  }
+
+  /**
+   * Whether a peer is served by the state service while this node is not: then it is no outage, and users are better
+   * off elsewhere. At the end of an outage some node is always answered first: so it takes a call of this node that was
+   * sent after that and failed as well.
+   */
+  servedElsewhere(): boolean {
+    const { link, now } = this.ctx;
+    if (link.downSince === null || this.elsewhereAt === null) return false;
+    return link.lastBadSent > this.elsewhereAt && this.members.reachesState(now - STALE) !== null;
+  }
+
+  private tick(): void {
+    const { ctx } = this;
+    // What was late once is doubted for a while: the next beats of others may still be on their way in.
+    this.lateUs = Math.max(ctx.now - this.dueAt, Math.floor(this.lateUs / 2));
+    for (const c of this.members.check(this.lateUs)) this.tell(c);
+    const oldest = ctx.now - REPORTS * ctx.settings.reportUs;
+    for (const [machine, at] of this.workers) if (at < oldest) this.workers.delete(machine);
+    const message = this.members.compose({
+      member: ctx.settings.member,
+      incarnation: this.incarnation,
+      term: this.term(),
+      stateAgeUs: ctx.link.lastGood === 0 ? null : ctx.now - ctx.link.lastGood,
+      lateUs: this.lateUs,
+      workers: this.workers.size,
+    });
+    for (const p of ctx.settings.peers) ctx.emit({ kind: 'peer', member: p.member, message });
+    this.dueAt = ctx.now + this.settings.beatUs;
+    ctx.after(this.settings.beatUs, () => {
+      this.tick();
+    });
+  }
+
+  private tell(c: Change | null): void {
+    if (c === null) return;
+    const { ctx } = this;
+    if (c.kind === 'suspected') {
+      const m = this.members.all.get(c.member);
+      // What others say of it is evidence to read, not to act on.
+      const also = [...this.members.all.values()].flatMap((x) =>
+        (x.beat?.others ?? [])
+          .filter((o) => o.member === c.member)
+          .map((o) => ({
+            by: x.name,
+            suspected: o.suspected,
+            agoS: (o.ageUs + ctx.now - x.heardAt) / SECOND,
+          })),
+      );
+      ctx.info('member.suspected', {
+        of: c.member,
+        silentS: c.silent / SECOND,
+        limitS: c.limit / SECOND,
+        incarnation: m?.incarnation,
+        ownLateS: this.lateUs / SECOND,
+        others: also,
+      });
+    } else if (c.kind === 'heard')
+      ctx.info('member.heard', { of: c.member, ...(c.after === null ? {} : { afterS: c.after / SECOND }) });
+    else ctx.info('member.restarted', { of: c.member, incarnation: c.incarnation });
+  }
+}
--- a/packages/core/src/users/desk.ts
+++ b/packages/core/src/users/desk.ts
@@ -10,7 +10,7 @@
   InnerAnswer,
   JobSpec,
   JobView,
-  PeerMessage,
+  Progress,
   Stage,
   UserAnswer,
   UserRequest,
@@ -59,7 +59,11 @@
 
   private readonly gatherUs: Micros;
 
-  constructor(private readonly ctx: Context) {
+  constructor(
+    private readonly ctx: Context,
+    /** Whether the state service answers another node while it does not answer this one. */
+    private readonly servedElsewhere: () => boolean = () => false,
+  ) {
     this.gatherUs = Math.max(GATHER_US, Math.round(SECOND / (POLL_SHARE * ctx.settings.stateRps)));
     ctx.linkLost.push(() => {
       // Who waits for the next comparison is told now: a user's poll gives up after two seconds.
@@ -83,10 +87,7 @@
     }
     switch (body.kind) {
       case 'health':
-        this.answer(
-          request,
-          this.ctx.types.size > 0 ? { kind: 'healthy' } : this.unavailable('machine types not known yet'),
-        );
+        this.answer(request, this.health());
         return;
       case 'poll':
         this.poll(request, body.id);
@@ -100,6 +101,17 @@
     }
   }
 
+  /**
+   * Users are sent away from a node that is cut off from the state service only if another one is known to be served: in an
+   * outage all nodes would leave the load balancer, and be missing from it for seconds after its end.
+   */
+  private health(): UserAnswer {
+    if (this.ctx.types.size === 0) return this.unavailable('machine types not known yet');
+    return this.cutOff && this.servedElsewhere()
+      ? this.unavailable('state service not answering this node')
+      : { kind: 'healthy' };
+  }
+
   /** Whether the job's end is known here: that never changes. */
   private final(id: string | null): boolean {
     return id !== null && this.cache.get(id)?.kind === 'ended';
@@ -113,7 +125,7 @@
   }
 
   /** Display counts from the leader. */
-  noteProgress(m: PeerMessage): void {
+  noteProgress(m: Progress): void {
     for (const n of m.notes) {
       this.progress.delete(n.id);
       this.progress.set(n.id, { done: n.done, running: n.running });
--- a/packages/emulator/src/site.ts
+++ b/packages/emulator/src/site.ts
@@ -1,9 +1,15 @@
 /** A deployment for simulated worlds: the settings that its nodes are handed, and its one type of machine. */
-import type { MachineType, Settings } from '@shaleyoke/core/model';
+import type { MachineType, Membership, Settings } from '@shaleyoke/core/model';
 import { SECOND } from '@shaleyoke/core/model';
 import { parseSettings } from '@shaleyoke/settings/settings';
 
-export const settingsFor = (member: string, all: readonly string[], teams: string, next = ''): Settings => {
+export const settingsFor = (
+  member: string,
+  all: readonly string[],
+  teams: string,
+  next = '',
+  membership: Membership | null = null,
+): Settings => {
   const peers = all
     .filter((m) => m !== member)
     .map((m, i) => `[[peers]]\nmember = "${m}"\nsite = "z"\naddress = "10.0.0.${i + 2}:81"\n`)
@@ -15,6 +21,7 @@
 [cluster.state]\nrps = 100.0\nwrite_rps = 50.0\nvalue_kb = 16.0\ntxn_ops = 16\n${next === '' ? '' : `[cluster.state.next]\n${next}\n`}
 [cluster.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n`,
     null,
+    membership,
   );
 };
 
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -9,6 +9,7 @@
   Input,
   JobSpec,
   LogFields,
+  Membership,
   Micros,
   OrdersReply,
   StateOp,
@@ -78,6 +79,8 @@
     readonly features: () => readonly Feature[] = () => [],
     /** Time of day at the world's beginning. */
     readonly wallStart: Micros = 0,
+    /** Whether controllers send beats; read at each start of a process. */
+    public membership: Membership | null = null,
   ) {
     const { time } = this;
     const broke = (what: string): void => {
@@ -149,6 +152,7 @@
         this.nodes.map((x) => x.name),
         this.teams,
         this.next,
+        this.membership,
       ),
       () => 0,
       true,
--- a/packages/protocol/test/formats.test.ts
+++ b/packages/protocol/test/formats.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check';
 import { decodeBody, encodeBody, Malformed } from '@shaleyoke/protocol/body';
 import { decodeCloudReply } from '@shaleyoke/protocol/cloud';
-import { decodePeer, encodePeer } from '@shaleyoke/protocol/peers';
+import { decodePeer, encodePeer, peerKind } from '@shaleyoke/protocol/peers';
 import { decodeStateReply } from '@shaleyoke/protocol/state';
 import { decodeSubmission, route } from '@shaleyoke/protocol/users';
 import { decodeOrdersReply, decodeReport } from '@shaleyoke/protocol/workers';
@@ -89,7 +89,7 @@
       ] as const)
         for (const status of [200, 400, 404, 409, 410, 500]) decodeStateReply(op, status, bytes);
       for (const status of [200, 409, 500]) decodeOrdersReply(status, bytes);
-      decodePeer(Buffer.from(bytes));
+      for (const kind of ['progress', 'beat'] as const) decodePeer(kind, Buffer.from(bytes));
       try {
         decodeReport(decodeBody(bytes));
       } catch (e) {
@@ -115,7 +115,7 @@
   );
   fc.assert(
     fc.property(fc.string(), fc.nat(), fc.array(note, { maxLength: 40 }), (member, term, notes) => {
-      assert.deepEqual(decodePeer(encodePeer({ kind: 'progress', member, term, notes })), {
+      assert.deepEqual(decodePeer('progress', encodePeer({ kind: 'progress', member, term, notes }).body), {
         kind: 'progress',
         member,
         term,
@@ -161,6 +161,41 @@
     assert.equal(needs(wrong), null, JSON.stringify(wrong));
 });
 
+test('beats survive the way there, on a path that the version before refuses', () => {
+  const heard = fc.record(
+    { member: fc.string(), incarnation: fc.nat(), ageUs: fc.nat(), suspected: fc.boolean() },
+    { noNullPrototype: true },
+  );
+  const beat = fc.record(
+    {
+      kind: fc.constant('beat' as const),
+      member: fc.string(),
+      incarnation: fc.integer({ min: 1, max: 2 ** 52 }),
+      seq: fc.nat(),
+      term: fc.option(fc.nat()),
+      stateAgeUs: fc.option(fc.integer({ min: 0, max: 2 ** 45 })),
+      lateUs: fc.nat(),
+      workers: fc.nat(10_000),
+      others: fc.array(heard, { maxLength: 9 }),
+    },
+    { noNullPrototype: true },
+  );
+  fc.assert(
+    fc.property(beat, (b) => {
+      const { path, body } = encodePeer(b);
+      assert.notEqual(path, '/peer/v1');
+      assert.equal(peerKind(path), 'beat');
+      assert.deepEqual(decodePeer('beat', body), b);
+      assert.ok(
+        body.length <
+          100 + 9 * 40 + 4 * (b.member.length + b.others.reduce((n, o) => n + o.member.length, 0)),
+      );
+    }),
+    seed,
+  );
+  assert.equal(peerKind('/peer/v3'), null);
+});
+
 test('peers of the version before and of this one read each other; other bytes are dropped', () => {
   // As the version before sends it.
   const bytes = Buffer.from('0c646f636b2d300602' + '0a72756e2d37' + '0608' + '00', 'hex');
@@ -170,10 +205,10 @@
     term: 3,
     notes: [{ id: 'run-7', done: 3, running: 4 }],
   } as const;
-  assert.deepEqual(decodePeer(bytes), message);
-  assert.deepEqual(encodePeer(message), bytes);
-  assert.equal(decodePeer(Buffer.concat([bytes, Buffer.from([1, 2])])), null);
-  assert.equal(decodePeer(bytes.subarray(0, 9)), null);
+  assert.deepEqual(decodePeer('progress', bytes), message);
+  assert.deepEqual(encodePeer(message), { path: '/peer/v1', body: bytes });
+  assert.equal(decodePeer('progress', Buffer.concat([bytes, Buffer.from([1, 2])])), null);
+  assert.equal(decodePeer('progress', bytes.subarray(0, 9)), null);
 });
 
 test('bodies that nest as deep as a body can are refused like any other, and end nothing', () => {
--- a/packages/runtime/src/clients.ts
+++ b/packages/runtime/src/clients.ts
@@ -14,7 +14,7 @@
 } from '@shaleyoke/core/model';
 import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { decodeCloudReply, encodeCloudOp } from '@shaleyoke/protocol/cloud';
-import { encodePeer, PEER_PATH } from '@shaleyoke/protocol/peers';
+import { encodePeer } from '@shaleyoke/protocol/peers';
 import { decodeStateReply, encodeStateOp } from '@shaleyoke/protocol/state';
 import { decodeOrdersReply, encodeOrders, ORDERS_PATH } from '@shaleyoke/protocol/workers';
 import { steadyNow } from './clock.js';
@@ -150,7 +150,7 @@
     peer: (member, message) => {
       const p = settings.peers.find((x) => x.member === member);
       if (p === undefined) return Effect.void;
-      const call = { method: 'POST', path: PEER_PATH, body: encodePeer(message) } as const;
+      const call = { method: 'POST', ...encodePeer(message) } as const;
       return Effect.asVoid(callHttp(peerAgent, p.address, call, PEER_TIMEOUT));
     },
     role: (leader) => {
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -4,7 +4,7 @@
 import type { AskFeature, Feature } from '@shaleyoke/core/ports';
 import type { CoreEffect, Input, Settings, UserRequest } from '@shaleyoke/core/model';
 import { decodeBody, encodeBody, Malformed } from '@shaleyoke/protocol/body';
-import { decodePeer, PEER_PATH } from '@shaleyoke/protocol/peers';
+import { decodePeer, peerKind } from '@shaleyoke/protocol/peers';
 import { decodeSubmission, encodeUserAnswer, route } from '@shaleyoke/protocol/users';
 import { decodeReport, encodeWorkerAnswer } from '@shaleyoke/protocol/workers';
 import { Clients, type ClientsService } from './clients.js';
@@ -159,11 +159,12 @@
   }
 
   onPeer(url: string, body: Buffer, answer: (o: Outgoing) => void): void {
-    if (url !== PEER_PATH) {
+    const kind = peerKind(url);
+    if (kind === null) {
       answer(plain(404));
       return;
     }
-    const message = decodePeer(body);
+    const message = decodePeer(kind, body);
     if (message === null) {
       this.log.write('error', 'peer.malformed', { bytes: body.length });
       answer(plain(400));
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -2,7 +2,7 @@
 import { Schema } from 'effect';
 import { parse as parseToml } from 'smol-toml';
 import { parse as parseYaml } from 'yaml';
-import type { Settings, Tuning } from '@shaleyoke/core/model';
+import type { Membership, Settings, Tuning } from '@shaleyoke/core/model';
 import { check, read } from './checked.js';
 
 const us = (s: number): number => Math.round(s * 1e6);
@@ -98,6 +98,12 @@
   progress_s: Schema.optionalWith(Positive, { default: () => 2 }),
 });
 
+const MembershipFile = Schema.Struct({
+  version: Schema.Literal(1),
+  beat_s: Schema.optionalWith(Schema.Number.pipe(Schema.between(0.1, 30)), { default: () => 1 }),
+  suspect_after_beats: Schema.optionalWith(Schema.Number.pipe(Schema.between(2, 100)), { default: () => 3 }),
+});
+
 export class SettingsError extends Error {}
 
 const fail = (message: string): SettingsError => new SettingsError(message);
@@ -122,7 +128,17 @@
   };
 };
 
-export const parseSettings = (toml: string, yaml: string | null): Settings => {
+/** The operators' file that switches the beats between controllers on. Throws `SettingsError` naming each wrong field. */
+export const parseMembership = (yaml: string, what: string): Membership => {
+  const m = check(MembershipFile, read(parseYaml, yaml, what, fail), what, fail, true);
+  return { beatUs: us(m.beat_s), suspectBeats: m.suspect_after_beats };
+};
+
+export const parseSettings = (
+  toml: string,
+  yaml: string | null,
+  membership: Membership | null = null,
+): Settings => {
   const p = check(Platform, read(parseToml, toml, 'settings', fail), 'settings', fail);
   const c = p.cluster;
   const { next } = c.state;
@@ -167,6 +183,7 @@
     cloudRps: c.cloud.rps,
     listLagUs: us(c.cloud.list_lag_s),
     maxConnections: c.machine_limits.max_connections,
+    membership,
     tuning: {
       ...tuning,
       leaderLeaseUs: Math.max(1_000_000, Math.min(tuning.leaderLeaseUs, roomUs)),
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { SECOND } from '@shaleyoke/core/model';
-import { parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
+import { parseMembership, parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
 import { settingsFor } from '@shaleyoke/emulator/site';
 
 test('the leader lease never outgrows half of what cancel_s leaves beside lease_s', () => {
@@ -37,3 +37,24 @@
   const larger = settingsFor('a', ['a'], '', 'value_kb = 64.0');
   assert.deepEqual([larger.valueBytes, larger.txnOps], [16_384, 16]);
 });
+
+test('the file that switches beats on is closed, and names what is wrong in it', () => {
+  assert.deepEqual(parseMembership('version: 1\n', 'm.yaml'), { beatUs: SECOND, suspectBeats: 3 });
+  assert.deepEqual(parseMembership('version: 1\nbeat_s: 0.25\nsuspect_after_beats: 5\n', 'm.yaml'), {
+    beatUs: SECOND / 4,
+    suspectBeats: 5,
+  });
+  for (const [yaml, named] of [
+    ['', /m\.yaml/],
+    ['version: 2', /version/],
+    ['version: 1\nbeat_s: 0', /beat_s/],
+    ['version: 1\nbeats: 3', /beats/],
+    ['version: 1\nsuspect_after_beats: 1', /suspect_after_beats/],
+    ['version: [', /m\.yaml/],
+  ] as const)
+    assert.throws(
+      () => parseMembership(yaml, 'm.yaml'),
+      (e: unknown) => e instanceof SettingsError && named.test(e.message),
+      yaml,
+    );
+});
--- a/packages/shaleyoke/src/main.ts
+++ b/packages/shaleyoke/src/main.ts
@@ -8,13 +8,14 @@
 import { Clients, ClientsLive } from '@shaleyoke/runtime/clients';
 import { logLevel, LogLive } from '@shaleyoke/runtime/log';
 import { runNode, type FeatureListener } from '@shaleyoke/runtime/node';
-import { parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
+import { parseMembership, parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
 
 interface FileOptions {
   readonly config: string;
   readonly operators?: string;
   readonly budgets?: string;
   readonly kube?: string;
+  readonly membership?: string;
 }
 
 const EXIT_USAGE = 2;
@@ -29,7 +30,11 @@
 };
 
 const load = (o: FileOptions): Settings => {
-  return parseSettings(text(o.config), o.operators === undefined ? null : text(o.operators));
+  return parseSettings(
+    text(o.config),
+    o.operators === undefined ? null : text(o.operators),
+    o.membership === undefined ? null : parseMembership(text(o.membership), o.membership),
+  );
 };
 
 /** Bundles of their own: what is switched off costs neither start-up nor memory. */
@@ -117,6 +122,7 @@
     .command(name)
     .description(description)
     .option('--operators <file>', "operators' own settings (YAML)")
+    .option('--membership <file>', 'controllers notice one another by beats (YAML)')
     .requiredOption('--config <file>', "the platform's settings (TOML)");
 
 withFiles('serve', 'run one controller until it is killed')
@@ -155,6 +161,7 @@
 // For the build only: runs what a start runs, so that the code cache holds it compiled.
 program.command('warm-up', { hidden: true }).action(() => {
   parseTuning('leader_lease_s: 6');
+  parseMembership('version: 1', 'membership');
   try {
     parseSettings('member = "a"', null);
   } catch (e) {
