Right: one that had been over is back only once the jobs were read anew

Cause: where only the answers of the state service are lost, the leader's renewals go on being executed: its office never ends, its right does. Meanwhile other nodes tell users of cancellations. With the first answered renewal it acted again in the same term, before its watch had told it, and started a job that had been cancelled 46 s before (ran_cancelled).

Change: a renewal that succeeds after the right was over lets the jobs be read; with that the right is back, counted from the newest renewal. A lost link to the state service has one probe at a time, also where it comes and goes.

Ruled out: giving the office up whenever the right ends, which after each outage would cost a takeover.

--- a/packages/core/src/base/context.ts
+++ b/packages/core/src/base/context.ts
@@ -41,6 +41,7 @@
   readonly link = new Link();
   /** Who wants to know when it is lost. */
   readonly linkLost: (() => void)[] = [];
+  private probing = false;
   private readonly stateCalls = new Map<number, { sent: Micros; then: (r: StateReply) => void }>();
   private readonly cloudCalls = new Map<number, (r: CloudReply) => void>();
   private readonly orderCalls = new Map<number, (r: OrdersReply) => void>();
@@ -122,15 +123,16 @@
   private linkBad(cause: FailureCause): void {
     this.info('state.lost', { cause });
     for (const tell of this.linkLost) tell();
-    this.probe();
+    if (!this.probing) this.probe();
   }
 
   /** While it is lost nobody else need ask: users are answered without. */
   private probe(): void {
+    this.probing = this.link.downSince !== null;
+    if (!this.probing) return;
     this.state({ kind: 'get', key: TERM }, 0, () => {
-      if (this.link.downSince === null) return;
       this.after(PROBE_EVERY, () => {
-        if (this.link.downSince !== null) this.probe();
+        this.probe();
       });
     });
   }
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -56,6 +56,7 @@
   private readonly told = new Map<string, string>();
   private sweeps = 0;
   private lastFlush: Micros = 0;
+  private takeover: Takeover | null = null;
 
   constructor(
     private readonly ctx: Context,
@@ -242,7 +243,7 @@
   }
 
   start(): void {
-    new Takeover(this.term, {
+    this.takeover = new Takeover(this.term, {
       rebuild: (read, timings) => {
         this.rebuild(read, timings);
       },
@@ -259,11 +260,22 @@
           if (!ids.has(job.id) && job.phase === 'active' && job.version <= revision)
             this.completion.ended(job, null);
       },
-    }).start();
+    });
+    this.takeover.start();
     this.tell();
     this.sweepLater();
   }
 
+  /** Reads which jobs there are; `done` once what others were told until now is known here. */
+  catchUp(done: () => void): void {
+    // Records that are still being read may have been read before that.
+    if (this.term.ready) this.takeover?.catchUp(done);
+    else
+      this.term.after(100 * MILLI, () => {
+        this.catchUp(done);
+      });
+  }
+
   stop(): void {
     this.term.stopped = true;
     this.writer.stop();
--- a/packages/core/src/office/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -52,11 +52,15 @@
   private looking = false;
   private acquiring = false;
   private renewSeq = 0;
+  /** When the newest renewal was sent that succeeded while the right was over; null: it is not coming back. */
+  private comingBack: Micros | null = null;
 
   constructor(
     private readonly ctx: Context,
     private readonly onWon: (office: Office) => void,
     private readonly onLost: () => void,
+    /** Learns what the state service has told others since this node last heard of it; `done` once that is known. */
+    private readonly catchUp: (done: () => void) => void,
   ) {}
 
   private get ttl(): Micros {
@@ -120,6 +124,7 @@
     this.ctx.info('leader.lost', { term: this.office.term, reason });
     this.office = null;
     this.rightEnds = 0;
+    this.comingBack = null;
     this.seen = null;
     this.ctx.emit({ kind: 'role', leader: false });
     this.onLost();
@@ -249,6 +254,24 @@
     this.rightEnds = Math.max(this.rightEnds, sent + Math.floor(this.ttl * (1 - DRIFT)) - 20 * MILLI);
   }
 
+  /**
+   * The lease had never ended, but this node may have heard nothing for much longer than its right lasts: where only the
+   * answers were lost, renewals went on being executed while others were told of cancellations. A task of a job cancelled
+   * 46 s before was started so (ran_cancelled, in a generated history). The right is back once that is read.
+   */
+  private resume(office: Office, sent: Micros): void {
+    const waits = this.comingBack !== null;
+    this.comingBack = sent;
+    if (waits) return;
+    this.catchUp(() => {
+      const newest = this.comingBack;
+      this.comingBack = null;
+      if (this.office !== office || newest === null) return;
+      this.extend(newest);
+      this.ctx.info('leader.resumed', { term: office.term });
+    });
+  }
+
   private renewLater(office: Office): void {
     const seq = ++this.renewSeq;
     this.ctx.after(Math.floor(this.ttl / 5), () => {
@@ -262,9 +285,9 @@
     this.ctx.state({ kind: 'renew', lease: office.lease }, 0, (r) => {
       if (this.office !== office) return;
       if (r.kind === 'ok') {
-        const had = this.hasRight();
-        if (this.holdOffUntil <= this.ctx.now) this.extend(sent);
-        if (!had) this.ctx.info('leader.resumed', { term: office.term });
+        if (this.holdOffUntil > this.ctx.now) this.comingBack = null;
+        else if (this.hasRight()) this.extend(sent);
+        else this.resume(office, sent);
       } else if (r.kind === 'noLease') {
         this.lose('lease ended');
         return;
--- a/packages/core/src/office/takeover.ts
+++ b/packages/core/src/office/takeover.ts
@@ -95,11 +95,22 @@
   }
 
   private resync(): void {
+    this.readJobs((revision) => {
+      this.watch(revision);
+    });
+  }
+
+  /** The watch may be minutes behind: what it tells later again changes nothing. */
+  catchUp(done: () => void): void {
+    this.readJobs(done);
+  }
+
+  private readJobs(then: (revision: number) => void): void {
     this.listAll(JOBS, (items, revision) => {
       const present = new Set(items.map((it) => it.key.slice(JOBS.length)));
       for (const it of items) this.host.appeared(it.key.slice(JOBS.length), it.value, it.version);
       this.host.present(present, revision);
-      this.watch(revision);
+      then(revision);
     });
   }
 
--- a/packages/core/test/cuts.test.ts
+++ b/packages/core/test/cuts.test.ts
@@ -208,3 +208,30 @@
   assert.equal(link.good(10), false);
   assert.equal(link.downSince, null);
 });
+
+test('a leader that got no answers for long reads what was cancelled meanwhile before it acts again', () => {
+  // Found by a generated history (ran_cancelled): only the answers of the state service were lost, so that the leader's
+  // renewals went on being executed and its office never ended; back in its right it started a job cancelled 46 s before.
+  for (let seed = 1; seed <= 6; seed++) {
+    const w = new World(new Random(seed), 3, '[[cluster.teams]]\nname = "t"\n', 1e9, 8);
+    w.runFor(3 * SECOND);
+    for (let i = 0; i < 4; i++)
+      w.submit(specOf(`run-${i}`, { tasks: 3, estimateUs: 200 * SECOND, shape: i < 2 ? 'array' : 'gang' }));
+    w.runFor(30 * SECOND);
+    const leader = w.nodes.findIndex((n) => n.core?.leads());
+    w.network.cutOneWay('state', `n${leader}`, 60 * SECOND);
+    w.runFor(3 * SECOND);
+    const other = w.users.host;
+    for (let i = 0; i < 4; i++) {
+      w.users.asked.add(`run-${i}`);
+      other.ask((leader + 1) % 3, { kind: 'cancel', id: `run-${i}` }, (a) => {
+        assert.equal(a?.kind, 'view');
+        w.users.cancelledAt.set(`run-${i}`, w.now);
+      });
+    }
+    w.runFor(90 * SECOND);
+    assert.equal(w.users.cancelledAt.size, 4);
+    assert.ok(w.nodes.some((n) => n.core?.leads()));
+    assert.deepEqual([...new Set(w.broken)].slice(0, 3), [], `seed ${seed}`);
+  }
+});
