--- a/packages/core/src/decision/ordering.ts
+++ b/packages/core/src/decision/ordering.ts
@@ -115,13 +115,13 @@
       if (type === undefined || m.retiring !== null) continue;
       if (gpu && type.gpus === 0) continue;
       const left = m.freeOf(type);
-      // Cores and GPUs that this work has no right to, and what it could have of lower priorities.
+      // Beside GPUs, cores and GPUs that this work has no right to; and what it could have of lower priorities.
       let cores = 0;
       let gpus = 0;
       let lower = 0;
       for (const { job } of m.attempts.values()) {
         if (job.priority < priority) lower += gpu ? job.spec.gpus : job.spec.cores;
-        else if (job.priority > priority || job.spec.gpus === 0) {
+        else if (gpu && (job.priority > priority || job.spec.gpus === 0)) {
           cores += job.spec.cores;
           gpus += job.spec.gpus;
         }
--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -143,7 +143,7 @@
   rentFor(d: Decision): void {
     // First see what is there: what stands ready before any renting is never returned.
     if (this.firstList && this.ctx.now < this.began + FIRST_LIST_WAIT) return;
-    if (this.host.rebuilding() || !this.host.entitled()) return;
+    if (this.host.rebuilding()) return;
     for (const [r, count] of d.picture.rented) {
       if (count <= 0) continue;
       const key = offerKey(r.type.name, r.zone, r.spot);
--- a/packages/core/src/membership/members.ts
+++ b/packages/core/src/membership/members.ts
@@ -22,8 +22,6 @@
   incarnation: number;
   /** When a beat of it came last, here. */
   heardAt: Micros;
-  /** Since when it has been at its level. */
-  since: Micros;
   /** Its newest beat. */
   beat: Beat | null;
   /** When the state service last gave it a good answer, by its own word; null: never, or no word. */
@@ -53,7 +51,6 @@
         level: 'unknown',
         incarnation: 0,
         heardAt: 0,
-        since: 0,
         beat: null,
         stateGoodAt: null,
         gaps: [],
@@ -84,10 +81,7 @@
     m.heardAt = now;
     m.beat = b;
     m.stateGoodAt = b.stateAgeUs === null ? null : now - b.stateAgeUs;
-    if (was !== 'alive') {
-      m.level = 'alive';
-      m.since = now;
-    }
+    m.level = 'alive';
     if (restarted) return { kind: 'restarted', member: m.name, incarnation: b.incarnation };
     return was === 'alive' ? null : { kind: 'heard', member: m.name, after: last === null ? null : silent };
   }
@@ -119,7 +113,6 @@
       const silent = now - m.heardAt;
       if (silent <= limit) continue;
       m.level = 'suspected';
-      m.since = now;
       out.push({ kind: 'suspected', member: m.name, silent, limit });
     }
     return out;
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { Members, type Change } from '@shaleyoke/core/membership/members';
 import { MILLI, SECOND, type Beat, type Membership, type Micros } from '@shaleyoke/core/model';
+import { beatOf } from '@shaleyoke/emulator/beats';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
@@ -10,19 +11,6 @@
 const ON: Membership = { beatUs: SECOND, suspectBeats: 3 };
 const NAMES = ['n0', 'n1', 'n2'];
 
-const beatOf = (member: string, seq: number, more: Partial<Beat> = {}): Beat => ({
-  kind: 'beat',
-  member,
-  incarnation: 1,
-  seq,
-  term: null,
-  stateAgeUs: 0,
-  lateUs: 0,
-  workers: 0,
-  others: [],
-  ...more,
-});
-
 /** One watcher of one peer, with time in hand. */
 class Watch {
   now: Micros = 0;
--- a/packages/emulator/src/users-model.ts
+++ b/packages/emulator/src/users-model.ts
@@ -27,8 +27,6 @@
   readonly cancelledAt = new Map<string, Micros>();
   /** Jobs whose users asked to cancel them. */
   readonly asked = new Set<string>();
-  /** Requests that got no answer. */
-  unanswered = 0;
 
   constructor(
     readonly host: UsersHost,
@@ -43,7 +41,6 @@
   private ask(id: string, body: UserRequest, then: (a: UserAnswer | null) => void): void {
     const known = this.told.get(id);
     this.host.ask(this.random.below(this.host.nodes), body, (a) => {
-      if (a === null) this.unanswered++;
       this.hear(id, a, known);
       then(a);
     });
--- a/packages/emulator/tools/detector.ts
+++ b/packages/emulator/tools/detector.ts
@@ -6,6 +6,7 @@
  */
 import { Members } from '@shaleyoke/core/membership/members';
 import { MILLI, SECOND, type Beat, type Membership, type Micros } from '@shaleyoke/core/model';
+import { beatOf } from '../src/beats.js';
 import { Random } from '../src/random.js';
 
 const ON: Membership = { beatUs: SECOND, suspectBeats: 3 };
@@ -58,18 +59,7 @@
     for (let again = 200 * MILLI; r.chance(c.loss); again *= 2) delay += again;
     // One connection: what comes after a lost packet waits for it.
     last = Math.max(last, at + delay);
-    const beat: Beat = {
-      kind: 'beat',
-      member: 'p',
-      incarnation: 1,
-      seq,
-      term: null,
-      stateAgeUs: 0,
-      lateUs: 0,
-      workers: 0,
-      others: [],
-    };
-    out.push({ at: last, beat });
+    out.push({ at: last, beat: beatOf('p', seq) });
   }
 };
 
