Emulator: late copies of all that was carried out, machines that stand, one right at any moment

Needed for histories of processes that are back within a fraction of a second. What was carried out may be carried out again up to half a minute later (state, cloud, orders, reports, peers); machines may be up before any controller; two rights at one moment are collected as a broken rule.

--- a/packages/emulator/src/workers-model.ts
+++ b/packages/emulator/src/workers-model.ts
@@ -87,9 +87,9 @@
     return [...this.all.values()].filter((w) => w.alive && w.zone === zone).length;
   }
 
-  boot(zone: string, spot: boolean): string {
+  boot(zone: string, spot: boolean, bootUs = TYPE.bootUs * (0.6 + 0.9 * this.random.next())): string {
     const name = `m-${String(this.nextMachine++).padStart(6, '0')}`;
-    const upAt = this.now + TYPE.bootUs * (0.6 + 0.9 * this.random.next());
+    const upAt = this.now + bootUs;
     this.all.set(name, {
       name,
       zone,
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -24,7 +24,7 @@
 import { CloudModel } from './cloud-model.js';
 import { Network } from './network.js';
 import type { Random } from './random.js';
-import { settingsFor } from './site.js';
+import { settingsFor, TYPE } from './site.js';
 import { StateModel } from './state-model.js';
 import { Timeline } from './timeline.js';
 import { UsersModel } from './users-model.js';
@@ -48,6 +48,8 @@
   readonly users: UsersModel;
   /** Chance that a call's answer is lost, and that the call is only carried out later. */
   loss = 0;
+  /** Chance that what was carried out is carried out once more, up to half a minute later. */
+  repeats = 0;
   /** How much later than others the answers to lists come. */
   listDelay: Micros = 0;
   readonly state = new StateModel(
@@ -141,6 +143,12 @@
     this.time.plan(delay, run);
   }
 
+  /** A late copy, now and then: at once, or when much else has happened. */
+  private again(run: () => void): void {
+    if (this.repeats > 0 && this.random.chance(this.repeats))
+      this.plan(this.random.below(this.random.chance(0.5) ? 500 : 30_000) * MILLI, run);
+  }
+
   // ---- nodes -------------------------------------------------------------------------------------
 
   private boot(n: SimNode): void {
@@ -235,9 +243,11 @@
       case 'peer': {
         const to = this.nodes.find((x) => x.name === e.member)!;
         if (this.random.chance(this.loss / 2)) return;
-        this.plan(this.network.delay(n.name, to.name) + 2 * MILLI, () => {
+        const deliver = (): void => {
           this.feed(to, { kind: 'peer', message: e.message });
-        });
+        };
+        this.plan(this.network.delay(n.name, to.name) + 2 * MILLI, deliver);
+        this.again(deliver);
         return;
       }
       case 'role':
@@ -307,6 +317,7 @@
     else
       this.plan((2 + this.random.below(6)) * MILLI, () => {
         const r = run();
+        this.again(run);
         this.plan(2 * MILLI, () => {
           reply(r);
         });
@@ -350,6 +361,13 @@
     });
     // A report that is held back arrives late, as old as it is.
     this.plan(lostThere ? this.random.below(20) * SECOND : 2 * MILLI, deliver);
+    this.again(() => {
+      this.feed(this.nodes[this.random.below(this.nodes.length)]!, {
+        kind: 'report',
+        request: this.nextRequest++,
+        report,
+      });
+    });
     if (lostThere || lostBack) this.machines.nextNode(w);
   }
 
@@ -447,11 +465,25 @@
           n.wake = null;
           this.feed(n, { kind: 'timer' });
         }
+      this.checkRights();
       this.machines.run();
       this.machines.checkCancelled(this.users.cancelledAt);
     }
   }
 
+  /** At most one may act at any moment. A node knows the time of its last input only: whoever seems to is told first. */
+  private checkRights(): void {
+    const entitled = (): SimNode[] => this.nodes.filter((n) => n.core?.leads() === true);
+    if (entitled().length < 2) return;
+    for (const n of entitled()) this.feed(n, { kind: 'timer' });
+    if (entitled().length > 1)
+      this.broken.push(
+        `two rights: ${entitled()
+          .map((n) => n.name)
+          .join()}`,
+      );
+  }
+
   // ---- shorthand for those who play ----------------------------------------------------------------
 
   get workers(): ReadonlyMap<string, Worker> {
@@ -462,6 +494,11 @@
     return this.machines.starts;
   }
 
+  /** Machines that are up before any controller, as nobody rented them. */
+  stand(count: number): void {
+    for (let i = 0; i < count; i++) this.machines.boot(TYPE.zones[i % TYPE.zones.length]!, false, 0);
+  }
+
   killWorker(w: Worker): void {
     this.machines.kill(w);
   }
