What stood ready is known to every leader until it is on record

Only the first list of term 1 told which machines stood ready: a first leader that ended before their marks were on record left them to be returned as idle. The term's record now carries that the question is open, and nothing is booked before it is closed.

--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -28,6 +28,7 @@
 import { Reports } from '../attempts/reports.js';
 import { Roster } from '../records/roster.js';
 import { Silence } from '../machines/silence.js';
+import { Standing } from '../machines/standing.js';
 import { Takeover } from '../office/takeover.js';
 import { Term } from '../office/term.js';
 import { Writer } from '../records/writer.js';
@@ -118,6 +119,7 @@
     });
     this.fleet = new Fleet(ctx, {
       term: term.no,
+      standing: new Standing(term, this.roster, this.writer, term.planSoon),
       machines: () => estate.machines.values(),
       find,
       rented: (...a) => {
--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -6,6 +6,7 @@
 import type { Group, Rentable } from '../decision/board.js';
 import type { Decision } from '../decision/search.js';
 import { typeAllowed } from '../base/room.js';
+import type { Standing } from './standing.js';
 
 interface Offer {
   refusedUntil: Micros;
@@ -16,10 +17,11 @@
 /** What the fleet needs of the scheduler. */
 export interface FleetHost {
   readonly term: number;
+  readonly standing: Pick<Standing, 'open' | 'settled' | 'settle'>;
   machines(): Iterable<Machine>;
   find(name: string): Machine | undefined;
   rented(name: string, type: string, zone: string, spot: boolean, since: Micros): void;
-  listed(m: ListedMachine, standing: boolean): void;
+  listed(m: ListedMachine): void;
   gone(m: Machine, reason: string): void;
   retire(m: Machine, reason: string): void;
   changed(): void;
@@ -141,8 +143,11 @@
 
   /** Rents what the play-out used of machines that are not there. */
   rentFor(d: Decision): void {
-    // First see what is there: what stands ready before any renting is never returned.
+    // First see what is there, and put it on record: what stands ready before any renting is never returned.
     if (this.firstList && this.ctx.now < this.began + FIRST_LIST_WAIT) return;
+    const { standing } = this.host;
+    if (standing.open && d.picture.rented.size > 0) standing.settle([]);
+    if (!standing.settled) return;
     if (this.host.rebuilding()) return;
     for (const [r, count] of d.picture.rented) {
       if (count <= 0) continue;
@@ -291,12 +296,10 @@
 
   /** Adopts what nobody expected, and learns what is gone from what is not listed any more. */
   private compare(listed: readonly ListedMachine[], began: Micros): void {
-    const standing = this.firstList && this.host.term === 1 && this.bookings === 0;
-    this.firstList = false;
     const names = new Set<string>();
     for (const l of listed) {
       names.add(l.name);
-      this.host.listed(l, standing);
+      this.host.listed(l);
       const m = this.host.find(l.name);
       if (m === undefined) continue;
       m.firstListed ??= this.ctx.now;
@@ -307,6 +310,9 @@
         this.remove(l.name);
       }
     }
+    this.firstList = false;
+    const { standing } = this.host;
+    if (standing.open) standing.settle([...this.host.machines()].filter((m) => names.has(m.name)));
     // A list is at most two lags old. It shows every machine that was listed before that and still exists.
     const lag = this.ctx.settings.listLagUs * 2 + SECOND;
     for (const m of [...this.host.machines()])
--- a/packages/core/src/machines/park.ts
+++ b/packages/core/src/machines/park.ts
@@ -61,7 +61,7 @@
     m.rentedAt = since;
   }
 
-  listed(l: ListedMachine, standing: boolean): void {
+  listed(l: ListedMachine): void {
     let m = this.machines.get(l.name);
     if (m === undefined) {
       if (this.buried.has(l.name)) return;
@@ -73,7 +73,6 @@
       m.rentedAt = this.term.ctx.now - l.ageUs;
       this.term.ctx.info('machine.listed', { machine: l.name, type: l.type, zone: l.zone });
     }
-    if (standing) m.standing = true;
     if (m.address === '') m.address = l.address;
   }
 
--- a/packages/core/src/office/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -37,8 +37,19 @@
   readonly lease: number;
   /** When the key was surely ours. */
   readonly since: Micros;
+  /** Nothing was ever rented, and which machines stood ready before is not on record yet: part of the term's record. */
+  readonly first: boolean;
 }
 
+/** The term's record. An older version leaves `first` out: then what stands ready can't be told any more. */
+interface TermRecord {
+  readonly n: number;
+  readonly first?: true;
+}
+
+/** The record of a term: the first one is open until the machines that stood ready are on record, whoever leads then. */
+export const termRecord = (n: number, first: boolean): TermRecord => (first ? { n, first } : { n });
+
 export class Leadership {
   office: Office | null = null;
   /** Who was last known to lead; null when that office is known to have ended. */
@@ -206,13 +217,15 @@
 
   private claim(sent: Micros, lease: number, t: StateReply & { kind: 'item' | 'missing' }): void {
     const version = t.kind === 'item' ? t.item.version : 0;
-    const last = t.kind === 'item' ? (t.item.value as { n?: unknown } | null)?.n : 0;
+    const before = t.kind === 'item' ? (t.item.value as { n?: unknown; first?: unknown } | null) : null;
+    const last = t.kind === 'item' ? before?.n : 0;
     if (typeof last !== 'number') {
       this.ctx.error('leader.term_unreadable');
       this.giveUp(lease, SECOND);
       return;
     }
     const term = last + 1;
+    const first = t.kind === 'missing' || before?.first === true;
     const value: LeadRecord = { member: this.ctx.settings.member, term };
     this.ctx.state(
       {
@@ -223,7 +236,7 @@
         ],
         writes: [
           { kind: 'put', key: LEAD, value, lease },
-          { kind: 'put', key: TERM, value: { n: term } },
+          { kind: 'put', key: TERM, value: termRecord(term, first) },
         ],
       },
       0,
@@ -234,7 +247,7 @@
         }
         this.acquiring = false;
         this.note(value.member, term);
-        this.office = { term, version: r.revision, lease, since: this.ctx.now };
+        this.office = { term, version: r.revision, lease, since: this.ctx.now, first };
         this.extend(sent);
         this.ctx.emit({ kind: 'role', leader: true });
         this.ctx.info('leader.won', { term });
--- a/packages/core/test/returns.test.ts
+++ b/packages/core/test/returns.test.ts
@@ -144,3 +144,26 @@
   assert.equal(copy!(), 'refused');
   assert.deepEqual(w.broken, []);
 });
+
+test('what stood ready is kept, whichever leaders end while they learn of it', () => {
+  // Only the first term's leader knew them: one that ended before they were on record left them to be returned as idle.
+  for (let seed = 1; seed <= 10; seed++) {
+    const r = new Random(seed * 7_368_787);
+    const w = new World(r, 3, '[[cluster.teams]]\nname = "t"\n', 1e9, 20);
+    w.stand(12);
+    const first = new Set(w.workers.keys());
+    for (let k = 0; k < 4; k++) {
+      w.runFor(r.below(700) * MILLI);
+      const leader = w.nodes.findIndex((n) => n.core?.leads());
+      if (leader >= 0) w.crash(leader, r.below(500) * MILLI);
+    }
+    w.runFor(30 * SECOND);
+    // More than stands there: machines are rented beside them, and only these are returned.
+    for (let i = 0; i < 16; i++) w.submit(specOf(`run-${i}`, { tasks: 8, estimateUs: 20 * SECOND }));
+    w.runFor(300 * SECOND);
+    assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
+    assert.ok(w.workers.size > first.size, 'machines were rented');
+    const alive = [...w.workers.values()].filter((x) => x.alive).map((x) => x.name);
+    for (const name of first) assert.ok(alive.includes(name), `seed ${seed}: ${name} was returned`);
+  }
+});
