Beats: a process raises its number above that of the one before, as peers tell it

The number was the time of day alone, which may be 100 ms behind that of a process that ended a moment ago: its successor's beats were dropped until it had been suspected and for three beats more. What peers say of this name that this process can't have told them was of the one before.

--- a/packages/core/src/membership/beats.ts
+++ b/packages/core/src/membership/beats.ts
@@ -16,6 +16,7 @@
   /** Workers that came, and when they last did. */
   private readonly workers = new Map<string, Micros>();
   private incarnation = 0;
+  private startedAt: Micros = 0;
   private dueAt: Micros = 0;
   private lateUs: Micros = 0;
   /** When a peer first had a good answer during the present interruption of this node's link; null: none had. */
@@ -37,17 +38,32 @@
   /** `wallUs`: time of day; a process that starts later on the same node has a later one. */
   start(wallUs: Micros): void {
     this.incarnation = Math.max(1, Math.floor(wallUs / MILLI));
+    this.startedAt = this.ctx.now;
     this.dueAt = this.ctx.now;
     this.tick();
   }
 
   take(b: Beat): void {
+    this.outbid(b);
     this.tell(this.members.take(b));
     const since = this.ctx.link.downSince;
     if (since === null || this.members.reachesState(since + AFTER) === null) this.elsewhereAt = null;
     else this.elsewhereAt ??= this.ctx.now;
   }
 
+  /**
+   * The time of day may lie behind that of the process before, which may have ended a moment ago: its number is then as high
+   * as ours or higher, and peers would drop our beats for seconds. What they say of this name that we can't have told them
+   * ourselves was of that process.
+   */
+  private outbid(b: Beat): void {
+    for (const o of b.others) {
+      if (o.member !== this.ctx.settings.member) continue;
+      const before = o.incarnation === this.incarnation && o.ageUs > this.ctx.now - this.startedAt;
+      if (o.incarnation > this.incarnation || before) this.incarnation = o.incarnation + 1;
+    }
+  }
+
   /** A worker reported to this node, whatever it was answered. */
   came(machine: string): void {
     this.workers.set(machine, this.ctx.now);
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -230,6 +230,29 @@
   assert.deepEqual(w.broken, []);
 });
 
+test('a process that is back at once is heard at once, whatever the time of day did meanwhile', () => {
+  // Its number came from the time of day alone: up to 100 ms behind, it was dropped until it had been suspected.
+  for (const [seed, back] of [0, 40, 100, 3_000].entries()) {
+    const w = new World(new Random(seed), 5, '[[cluster.teams]]\nname = "t"\n');
+    w.wallStart = 60 * SECOND;
+    w.membership = ON;
+    for (let i = 0; i < 5; i++) w.crash(i, 1);
+    w.runFor(10 * SECOND);
+    const log: string[] = [];
+    w.onLog = (node, event, fields) => {
+      if (event.startsWith('member.')) log.push(`${node} ${event} ${String(fields['of'])}`);
+    };
+    // Its old number is its time of day then; the new one is `back` behind it.
+    w.wallStart = 60 * SECOND - w.now - back * MILLI;
+    w.crash(2, 50 * MILLI);
+    w.runFor(4 * SECOND);
+    for (const other of ['n0', 'n1', 'n3', 'n4'])
+      assert.ok(log.includes(`${other} member.restarted n2`), `${back} ms back: ${log.join('; ')}`);
+    assert.equal(log.filter((l) => l.includes('suspected')).length, 0, log.join('; '));
+    assert.deepEqual(w.broken, []);
+  }
+});
+
 test('switched off, nothing is sent', () => {
   const w = new World(new Random(1));
   const kinds = new Set<string>();
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -79,8 +79,8 @@
     readonly next = '',
     /** What is switched on in each process; made anew for each. */
     readonly features: () => readonly Feature[] = () => [],
-    /** Time of day at the world's beginning. */
-    readonly wallStart: Micros = 0,
+    /** Time of day at the world's beginning; may be set back between starts of processes. */
+    public wallStart: Micros = 0,
     /** Whether controllers send beats; read at each start of a process. */
     public membership: Membership | null = null,
   ) {
