Room is kept free for services that must start at once

Room for the largest that came lately is kept in each zone from work of lower priority; what ends gives room again all the time, so that is enough.

--- a/packages/core/src/decision/board.ts
+++ b/packages/core/src/decision/board.ts
@@ -39,6 +39,8 @@
   readonly reserve: boolean;
   /** No real work: room kept for arrivals, or for stages to come. */
   readonly phantom: boolean;
+  /** Phantom: room that is free now is kept for it. */
+  readonly kept?: boolean;
   /** It can't begin before. */
   readonly notBefore?: Micros;
   /** Relative prices by type and kind, filled in as they are asked for. */
@@ -659,6 +661,32 @@
     }
   }
 
+  /**
+   * Keeps room that is free now from all that is placed after this: up to `count` tasks of the group in a zone. What is not
+   * free is not waited for; the next plan keeps what came free by then, before it starts anything else there.
+   */
+  keepRoom(g: Group, zone: string, count: number): void {
+    const { now } = this.picture;
+    const k = gpuKind(g.spec);
+    let left = count;
+    for (const p of this.pools.values()) {
+      if (p.zone !== zone || !this.open(p, g.spec)) continue;
+      const seats = p.byFloor[k];
+      const sorted = p.sorted[k];
+      for (let i = 0; i < seats.length && left > 0 && sorted[i]! <= now; i++) {
+        const seat = seats[i]!;
+        if (seat.floor[k] > now || seat.slot.machine === null) continue;
+        const n = Math.min(left, timesFits(g.spec, seat.slot.free));
+        if (n <= 0) continue;
+        const { images } = seat.slot;
+        this.occupy(seat, g, n, now, FOREVER);
+        // Whose image will be wanted there is not known.
+        seat.slot.images = images;
+        left -= n;
+      }
+    }
+  }
+
   /** Keeps the machines that a group could use from all work of lower priority. */
   keepFor(g: Group): void {
     for (const p of this.pools.values())
--- a/packages/core/src/decision/search.ts
+++ b/packages/core/src/decision/search.ts
@@ -286,7 +286,8 @@
   const b = new Board(p, groups);
   const steps: Step[] = [];
   let left = groups.filter((g) => !g.phantom);
-  const phantoms = groups.filter((g) => g.phantom);
+  const kept = groups.filter((g) => g.kept === true);
+  const phantoms = groups.filter((g) => g.phantom && g.kept !== true);
   let searched = 0;
   let fellBack = false;
   const settle = (g: Group, first: Option | null): void => {
@@ -314,50 +315,61 @@
     settled.add(g);
   }
   left = left.filter((g) => !settled.has(g));
-  while (left.length > 0) {
-    const represented = left.slice(0, limits.depth);
-    let chosen: { group: Group; option: Option; score: Score } | null = null;
-    const candidates: { group: Group; option: Option }[] = [];
-    let listed = 0;
-    for (const group of represented) {
-      const places = firstOptions(b, group);
-      for (const option of places) candidates.push({ group, option });
-      if (places.length > 0) listed++;
-      if (listed >= limits.width) break;
-    }
-    // Nothing can begin now: there is no first action to choose, only what to wait for and to rent.
-    if (candidates.length === 0) break;
-    // One candidate, or one group with one place to go: nothing to compare.
-    if (candidates.length > 1 && represented.length > 1) {
-      for (const { group, option } of candidates) {
-        if (stopwatch() - began > limits.budgetUs) {
-          fellBack = true;
-          break;
-        }
-        const mark = b.mark();
-        const opening = placeGroup(b, group, option);
-        if (opening !== null) {
-          searched++;
-          const score = playOut(
-            b,
-            represented.filter((g) => g !== group),
-            opening,
-          );
-          if (chosen === null || better(score, chosen.score, limits.toleranceUs))
-            chosen = { group, option, score };
+  const place = (part: readonly Group[]): void => {
+    let left = part;
+    while (left.length > 0) {
+      const represented = left.slice(0, limits.depth);
+      let chosen: { group: Group; option: Option; score: Score } | null = null;
+      const candidates: { group: Group; option: Option }[] = [];
+      let listed = 0;
+      for (const group of represented) {
+        const places = firstOptions(b, group);
+        for (const option of places) candidates.push({ group, option });
+        if (places.length > 0) listed++;
+        if (listed >= limits.width) break;
+      }
+      // Nothing can begin now: there is no first action to choose, only what to wait for and to rent.
+      if (candidates.length === 0) break;
+      // One candidate, or one group with one place to go: nothing to compare.
+      if (candidates.length > 1 && represented.length > 1) {
+        for (const { group, option } of candidates) {
+          if (stopwatch() - began > limits.budgetUs) {
+            fellBack = true;
+            break;
+          }
+          const mark = b.mark();
+          const opening = placeGroup(b, group, option);
+          if (opening !== null) {
+            searched++;
+            const score = playOut(
+              b,
+              represented.filter((g) => g !== group),
+              opening,
+            );
+            if (chosen === null || better(score, chosen.score, limits.toleranceUs))
+              chosen = { group, option, score };
+          }
+          b.rollback(mark);
         }
-        b.rollback(mark);
+      } else if (candidates.length > 0 && represented.length === 1) {
+        const one = candidates.map((c) => c.option).reduce((x, y) => (y.rank < x.rank ? y : x));
+        chosen = { group: represented[0]!, option: one, score: { makespan: 0, sum: 0, unplaced: 0 } };
       }
-    } else if (candidates.length > 0 && represented.length === 1) {
-      const one = candidates.map((c) => c.option).reduce((x, y) => (y.rank < x.rank ? y : x));
-      chosen = { group: represented[0]!, option: one, score: { makespan: 0, sum: 0, unplaced: 0 } };
+      if (fellBack) break;
+      const group = chosen?.group ?? left[0]!;
+      settle(group, chosen?.option ?? null);
+      left = left.filter((g) => g !== group);
     }
-    if (fellBack) break;
-    const group = chosen?.group ?? left[0]!;
-    settle(group, chosen?.option ?? null);
-    left = left.filter((g) => g !== group);
+    for (const g of left) if (beginsNow(b, g) || !late(g)) settle(g, null);
+  };
+  if (kept.length === 0) place(left);
+  else {
+    // What has to start at once comes before the room that is kept for more of it, all else after that.
+    const urgent = Math.min(...kept.map((g) => g.spec.priority));
+    place(left.filter((g) => g.spec.priority >= urgent));
+    for (const g of kept) for (const zone of b.zones) b.keepRoom(g, zone, spreadLimit(g.spec));
+    place(left.filter((g) => g.spec.priority < urgent));
   }
-  for (const g of left) if (beginsNow(b, g) || !late(g)) settle(g, null);
   for (const g of phantoms) placeGroup(b, g);
   return { steps, picture: p, searched, fellBack, looks: b.looks };
 };
--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -189,7 +189,7 @@
     const { tuning } = ctx.settings;
     const decision = search(
       imaging.picture(fleet.rentable(), fleet.kinds()),
-      [...groups, ...fleet.headroom(), ...this.groupsAhead()],
+      [...groups, ...fleet.kept(), ...fleet.headroom(), ...this.groupsAhead()],
       {
         budgetUs: tuning.searchBudgetUs,
         width: tuning.searchWidth,
--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -42,6 +42,8 @@
 const FIRST_LIST_WAIT: Micros = 3 * SECOND;
 /** Where capacity isn't saved, idle machines are kept this many times as long. */
 const UNTHRIFTY_PATIENCE = 6;
+/** Who must start within that can't wait for the next tasks to end. */
+const AT_ONCE: Micros = 10 * SECOND;
 /** Window over which arrivals are counted. */
 const WINDOW: Micros = 150 * SECOND;
 
@@ -108,10 +110,7 @@
   headroom(): Group[] {
     const out: Group[] = [];
     for (const [cls, a] of this.arrivals) {
-      let within: Micros | null = null;
-      for (const o of this.ctx.settings.objectives)
-        if (o.kind === 'wait' && o.class === cls && o.withinUs !== null)
-          within = within === null ? o.withinUs : Math.min(within, o.withinUs);
+      const within = this.waitOf(cls);
       if (within === null || a.spec.shape === 'service') continue;
       let boot: Micros | null = null;
       for (const t of this.ctx.types.values())
@@ -123,24 +122,58 @@
       const jobs = HEADROOM_Z * Math.sqrt(2 * expected);
       const count = Math.ceil(jobs * a.tasks);
       if (count === 0) continue;
-      out.push({
-        spec: { ...a.spec, shape: 'array', tasks: count, sameZone: false, spread: false },
-        count,
-        zones: new Map(),
-        avoid: new Set(),
-        credit: 0,
-        margin: this.host.thrifty() ? 60 * SECOND : 0,
-        patience: 60 * SECOND,
-        only: null,
-        reserve: false,
-        phantom: true,
-        runs: new Map(),
-        dear: new Map(),
-      });
+      out.push(
+        this.roomFor({ ...a.spec, shape: 'array', tasks: count, sameZone: false, spread: false }, count),
+      );
     }
     return out;
   }
 
+  /**
+   * Room kept free for services that must start sooner than tasks end that others would put there. What ends gives room again
+   * all the time, so the largest job that came lately is enough. Without it such a service trickled in: a third of those
+   * that came to full machines had tasks waiting for longer than their aim (adresy-pomorze steady).
+   */
+  kept(): Group[] {
+    const out: Group[] = [];
+    for (const a of this.arrivals.values()) {
+      if ((a.at.at(-1) ?? -Infinity) < this.ctx.now - WINDOW || !this.mustStartAtOnce(a.spec)) continue;
+      out.push({ ...this.roomFor(a.spec, a.spec.tasks), kept: true });
+    }
+    return out;
+  }
+
+  /** Services that can't wait for the next tasks to end. */
+  mustStartAtOnce(spec: JobSpec): boolean {
+    return spec.shape === 'service' && (this.waitOf(spec.class) ?? Infinity) < AT_ONCE;
+  }
+
+  /** The shortest wait that an aim allows the class. */
+  private waitOf(cls: string): Micros | null {
+    let within: Micros | null = null;
+    for (const o of this.ctx.settings.objectives)
+      if (o.kind === 'wait' && o.class === cls && o.withinUs !== null)
+        within = within === null ? o.withinUs : Math.min(within, o.withinUs);
+    return within;
+  }
+
+  private roomFor(spec: JobSpec, count: number): Group {
+    return {
+      spec,
+      count,
+      zones: new Map(),
+      avoid: new Set(),
+      credit: 0,
+      margin: this.host.thrifty() ? 60 * SECOND : 0,
+      patience: 60 * SECOND,
+      only: null,
+      reserve: false,
+      phantom: true,
+      runs: new Map(),
+      dear: new Map(),
+    };
+  }
+
   /** Rents what the play-out used of machines that are not there. */
   rentFor(d: Decision): void {
     // First see what is there, and put it on record: what stands ready before any renting is never returned.
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -369,3 +369,21 @@
     [0, 0, 0],
   );
 });
+
+test('room kept for services is not given to other work, nor kept from the services themselves', () => {
+  const type = typeOf('cpu', { cores: 4, memoryGb: 100 });
+  const slots = (): Slot[] => ['a', 'a', 'b', 'b'].map((zone, i) => slotOf(`m${i}`, type, { zone }));
+  const service = specOf('run-1', { shape: 'service', tasks: 4, spread: true, priority: 3 });
+  const kept = groupOf(service, { phantom: true, kept: true });
+  const array = groupOf(specOf('run-2', { tasks: 30 }));
+  const startedNow = (groups: Group[], of: string): number =>
+    search(pictureOf(slots(), { cpu: 60 }), groups, limits, still)
+      .steps.filter((s) => s.group.spec.id === of && s.start === 0)
+      .reduce((n, s) => n + s.count, 0);
+  assert.equal(startedNow([array], 'run-2'), 16);
+  // Half of its tasks in each zone: whichever has room when it comes.
+  assert.equal(startedNow([array, kept], 'run-2'), 12);
+  const real = groupOf({ ...service, id: 'run-3' }, { reserve: true });
+  assert.equal(startedNow([array, real, kept], 'run-3'), 4);
+  assert.equal(startedNow([array, real, kept], 'run-2'), 8);
+});
