--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -22,6 +22,8 @@
 const REBUILD_REPORTS = 3;
 const REBUILD_SHARE = 0.1;
 const CHAINS_FRESH = 2 * SECOND;
+/** Tasks of one service, and services that come together, are planned for together. */
+const HURRY = 20 * MILLI;
 
 export interface PlannerParts {
   readonly ordering: Ordering;
@@ -36,6 +38,7 @@
   /** Machines that the last plan counts on. */
   needed: ReadonlySet<string> = new Set();
   private planning = false;
+  private hurrying = false;
   /** Something changed while no plan could be made. */
   private again = false;
   private lastPlan: Micros = 0;
@@ -72,7 +75,17 @@
     });
   }
 
-  private groups(): { groups: Group[]; jobs: Map<Group, ActiveJob> } {
+  /** Something came that must start at once: it does not wait for the pause after the last plan, which costs much more. */
+  hurry(): void {
+    if (this.hurrying) return;
+    this.hurrying = true;
+    this.term.after(HURRY, () => {
+      this.hurrying = false;
+      if (this.term.ready && this.term.entitled() && this.term.ctx.types.size > 0) this.planOnce(true);
+    });
+  }
+
+  private groups(few: boolean): { groups: Group[]; jobs: Map<Group, ActiveJob> } {
     const { ctx, estate } = this.term;
     const { ordering } = this.parts;
     const usage = estate.usage();
@@ -83,6 +96,7 @@
     // Work with and without GPUs is limited apart: many waiting gangs must not keep arrays from the plan.
     const taken = [0, 0];
     for (const job of order) {
+      if (few && !this.parts.fleet.mustStartAtOnce(job.spec)) continue;
       const spec = job.priority === job.spec.priority ? job.spec : { ...job.spec, priority: job.priority };
       const kind = spec.gpus > 0 ? 1 : 0;
       if (taken[kind]! >= ctx.settings.tuning.searchGroups) continue;
@@ -166,30 +180,40 @@
     if (ctx.types.size === 0) return;
     // Owed until the right comes back: a plan rents, and stops some for others. And answers to those who turn to a new
     // leader come before its first plans: on a sixth of a core the starts of these once held up hundreds of workers
-    // until their leases ran out.
-    if (!this.term.entitled() || this.rebuilding()) {
+    // until their leases ran out. Only the few that must start at once do, where there is room on what is known.
+    const few = this.rebuilding();
+    if (!this.term.entitled() || (few && !this.urgentWaits())) {
       this.again = true;
       return;
     }
     const began = ctx.stopwatch();
-    this.planOnce();
+    this.planOnce(few);
+    this.again ||= few;
     this.planCost = ctx.stopwatch() - began;
     this.lastPlan = ctx.now;
   }
 
-  private planOnce(): void {
+  private urgentWaits(): boolean {
+    const { estate } = this.term;
+    for (const job of estate.jobs.values())
+      if (this.parts.fleet.mustStartAtOnce(job.spec) && estate.startable(job)) return true;
+    return false;
+  }
+
+  /** `few`: only what must start at once, and nothing is stopped for it. */
+  private planOnce(few: boolean): void {
     const { ctx } = this.term;
     const { deps, imaging, fleet, clearing } = this.parts;
     const t0 = ctx.stopwatch();
     // Predictions change with what is learned.
     deps.refresh(ctx.now - this.chainsAt > CHAINS_FRESH);
     if (ctx.now - this.chainsAt > CHAINS_FRESH) this.chainsAt = ctx.now;
-    const { groups, jobs } = this.groups();
+    const { groups, jobs } = this.groups(few);
     const t1 = ctx.stopwatch();
     const { tuning } = ctx.settings;
     const decision = search(
       imaging.picture(fleet.rentable(), fleet.kinds()),
-      [...groups, ...fleet.kept(), ...fleet.headroom(), ...this.groupsAhead()],
+      few ? groups : [...groups, ...fleet.kept(), ...fleet.headroom(), ...this.groupsAhead()],
       {
         budgetUs: tuning.searchBudgetUs,
         width: tuning.searchWidth,
@@ -208,6 +232,7 @@
       byJob.set(job, steps);
     }
     for (const [job, steps] of byJob) this.act(job, steps);
+    if (few) return;
     clearing.preempt(byJob);
     fleet.rentFor(decision);
     this.needed = new Set(
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -355,6 +355,7 @@
       if (job.held) this.ctx.info('job.held', { job: id, for: this.deps.waitsFor(job) });
       else if (rec.spec.needs.length === 0 && job.barred === null) this.fleet.noteArrival(rec.spec);
       this.ctx.debug('job.seen', { job: id, class: rec.spec.class });
+      if (this.fleet.mustStartAtOnce(rec.spec)) this.planner.hurry();
     }
     this.planner.soon();
   }
--- a/packages/core/test/returns.test.ts
+++ b/packages/core/test/returns.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MILLI, SECOND, type JobSpec } from '@shaleyoke/core/model';
+import { MILLI, SECOND, type JobSpec, type Micros } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
@@ -197,3 +197,42 @@
     assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
   }
 });
+
+test('a service that must start at once does so while a new leader still accounts for machines', () => {
+  const aim = '[[cluster.objectives]]\nkind = "wait"\nclass = "c"\nwithin_s = 1.0\n';
+  for (const [seed, spread] of [true, false].entries()) {
+    const w = new World(new Random(seed), 5, `[[cluster.teams]]\nname = "t"\n${aim}`, 1e9, 20);
+    w.stand(30);
+    w.runFor(3 * SECOND);
+    for (let i = 0; i < 4; i++)
+      w.submit(specOf(`run-${i}`, { class: 'd', tasks: 6, estimateUs: 300 * SECOND }));
+    w.runFor(20 * SECOND);
+    // So many that nothing else is planned until they are known to be gone.
+    for (const x of [...w.workers.values()].slice(0, 8)) w.killWorker(x);
+    let ready = 0;
+    w.onLog = (_n, event) => {
+      if (event === 'leader.ready') ready = w.now;
+    };
+    w.crash(
+      w.nodes.findIndex((n) => n.core?.leads()),
+      300 * MILLI,
+    );
+    w.submit(specOf('run-8', { class: 'd', tasks: 4, estimateUs: 10 * SECOND }));
+    w.submit(specOf('run-9', { shape: 'service', priority: 3, tasks: 4, spread }));
+    const began = (id: string): Micros | null => {
+      const n = [...w.workers.values()].flatMap((x) => x.tasks.filter((t) => t.job === id)).length;
+      return n === 4 ? w.now : null;
+    };
+    let service: Micros | null = null;
+    let array: Micros | null = null;
+    while (w.now < 60 * SECOND && array === null) {
+      w.runFor(100 * MILLI);
+      service ??= began('run-9');
+      array ??= began('run-8');
+    }
+    assert.ok(ready > 0 && service !== null && array !== null);
+    assert.ok(service - ready < 6 * SECOND, `${(service - ready) / SECOND} s`);
+    assert.ok(array - service > 2 * SECOND, `the array waits until most is known: ${array - service} us`);
+    assert.deepEqual([...new Set(w.broken)], []);
+  }
+});
