A leader that has become too slow for its work gives the office up

It judges itself by how late its own timers fire, three times within ten seconds; not while workers turn to a new leader, and once in four leases, so that handovers don't chase each other.

--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -23,6 +23,7 @@
 import { Park } from '../machines/park.js';
 import { Planner } from './planner.js';
 import { Features, type Feature } from '../ports.js';
+import { Fitness } from './fitness.js';
 import { ProgressBook } from '../records/progress.js';
 import { bytesOf, readActive } from '../base/records.js';
 import { Reports } from '../attempts/reports.js';
@@ -34,6 +35,10 @@
 import { Writer } from '../records/writer.js';
 
 const SWEEP = 500 * MILLI;
+/** Who gave the office up for slowness does not stand for it again so soon. */
+const HOLD_OFF = 20 * SECOND;
+/** Report intervals in which workers turn to a new leader. */
+const ACCOUNTING = 3;
 /** What could begin for no longer than this counts as having just come. */
 const FRESH = 5 * SECOND;
 
@@ -55,6 +60,7 @@
   private readonly endings: Endings;
   private readonly features: Features;
   private readonly told = new Map<string, string>();
+  private readonly fitness = new Fitness();
   private sweeps = 0;
   private lastFlush: Micros = 0;
   private takeover: Takeover | null = null;
@@ -62,7 +68,7 @@
   constructor(
     private readonly ctx: Context,
     office: Office,
-    leadership: Leadership,
+    private readonly leadership: Leadership,
     private readonly desk: Desk,
     features: readonly Feature[],
   ) {
@@ -417,7 +423,9 @@
   // ---- the sweep ---------------------------------------------------------------------------------
 
   private sweepLater(): void {
+    const due = this.ctx.now + SWEEP;
     this.term.after(SWEEP, () => {
+      this.fitness.fired(this.ctx.now, due);
       this.sweep();
       this.sweepLater();
     });
@@ -431,6 +439,10 @@
     this.silence.noteRight(entitled);
     if (this.sweeps % 2 === 0) this.tell();
     if (!this.term.ready) return;
+    if (entitled && this.fitness.unfit && this.mayResign()) {
+      this.leadership.resign(HOLD_OFF, 'too slow to lead');
+      return;
+    }
     // Without right nothing is decided: others may have led and answered since, and what this picture shows of
     // silence, leases and gangs is then no more than that nobody reports here. A leader that had been deposed for 33 s
     // rented 56 machines. If the right comes back nobody else has led, and everything is looked at then.
@@ -464,6 +476,18 @@
     if (this.sweeps % 20 === 0) this.summarise();
   }
 
+  /**
+   * Another takes the office at once. Handovers don't chase each other: a new leader is slow while all turn to it, and who
+   * resigned stays the next time, for if all are slow nobody is better.
+   */
+  private mayResign(): boolean {
+    const { now, settings } = this.ctx;
+    const { resignedAt } = this.leadership;
+    if (settings.peers.length === 0 || now < this.term.office.since + ACCOUNTING * settings.reportUs)
+      return false;
+    return resignedAt === null || now - resignedAt > 4 * settings.leaseUs;
+  }
+
   private saveTimings(): void {
     if (this.attempts.noted === 0) return;
     this.attempts.noted = 0;
--- /dev/null
+++ b/packages/core/test/fitness.test.ts
@@ -0,0 +1,56 @@
+/** A leader that has become too slow gives the office up; one that stood still once does not, nor do all in turn. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Fitness } from '@shaleyoke/core/leader/fitness';
+import { MILLI, SECOND } from '@shaleyoke/core/model';
+import { Random } from '@shaleyoke/emulator/random';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { World } from '@shaleyoke/emulator/world';
+
+test('late again and again within ten seconds is unfit, late once for long is not', () => {
+  const f = new Fitness();
+  f.fired(30 * SECOND, 10 * SECOND);
+  assert.equal(f.unfit, false);
+  for (let t = 31; t < 60; t++) f.fired(t * SECOND, t * SECOND - 900 * MILLI);
+  assert.equal(f.unfit, false);
+  f.fired(62 * SECOND, 60 * SECOND);
+  f.fired(64 * SECOND, 62 * SECOND);
+  assert.equal(f.unfit, false);
+  f.fired(66 * SECOND, 64 * SECOND);
+  assert.equal(f.unfit, true);
+  f.fired(75 * SECOND, 75 * SECOND);
+  assert.equal(f.unfit, false);
+});
+
+const world = (seed: number, nodes: number): { w: World; leader: () => string; log: string[] } => {
+  const w = new World(new Random(seed), nodes, '[[cluster.teams]]\nname = "t"\n', 1e9, 20);
+  w.runFor(3 * SECOND);
+  for (let i = 0; i < 8; i++) w.submit(specOf(`run-${i}`, { tasks: 8, estimateUs: 200 * SECOND }));
+  w.runFor(40 * SECOND);
+  const log: string[] = [];
+  w.onLog = (node, event) => log.push(`${node} ${event}`);
+  return { w, leader: () => w.nodes.find((n) => n.core?.leads())?.name ?? 'nobody', log };
+};
+
+test('a leader that gets to its work too late hands the office over, once, and no lease runs out', () => {
+  for (let seed = 1; seed <= 4; seed++) {
+    const { w, leader, log } = world(seed, seed % 2 === 0 ? 3 : 5);
+    const slow = leader();
+    w.stutter.set(slow, 2_500 * MILLI);
+    w.runFor(12 * SECOND);
+    assert.notEqual(leader(), slow);
+    w.runFor(60 * SECOND);
+    assert.equal(log.filter((l) => l.endsWith('leader.won')).length, 1, log.join('; '));
+    assert.equal(log.filter((l) => l.endsWith('machine.session')).length, 0);
+    assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
+  }
+});
+
+test('where all are slow the office comes to rest', () => {
+  const { w, log } = world(9, 3);
+  for (const n of w.nodes) w.stutter.set(n.name, 2_500 * MILLI);
+  w.runFor(100 * SECOND);
+  // Each of them may give it up once in four leases of the workers, which last 20 s here.
+  assert.ok(log.filter((l) => l.endsWith('leader.resign')).length <= 4, log.join('; '));
+  assert.deepEqual([...new Set(w.broken)], []);
+});
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -50,6 +50,8 @@
   loss = 0;
   /** Chance that what was carried out is carried out once more, up to half a minute later. */
   repeats = 0;
+  /** Nodes that get to their work only so often, by name: all that came since is done then. */
+  readonly stutter = new Map<string, Micros>();
   /** How much later than others the answers to lists come. */
   listDelay: Micros = 0;
   readonly state = new StateModel(
@@ -180,9 +182,22 @@
     });
   }
 
+  /** How long a node that stutters still rests. */
+  private restOf(n: SimNode): Micros {
+    const every = this.stutter.get(n.name);
+    return every === undefined ? 0 : (every - (this.now % every)) % every;
+  }
+
   private feed(n: SimNode, input: Input): void {
     if (n.core === null) return;
     const { life } = n;
+    const rest = this.restOf(n);
+    if (rest > 0) {
+      this.plan(rest, () => {
+        if (n.life === life) this.feed(n, input);
+      });
+      return;
+    }
     for (const e of n.core.step(this.now - n.startAt + 1, input)) this.perform(n, life, e);
   }
 
@@ -461,7 +476,7 @@
       this.time.playTo(Math.min(end, this.now + 25 * MILLI));
       this.state.expire();
       for (const n of this.nodes)
-        if (n.wake !== null && n.wake <= this.now) {
+        if (n.wake !== null && n.wake <= this.now && this.restOf(n) === 0) {
           n.wake = null;
           this.feed(n, { kind: 'timer' });
         }
