Plans wait while the leader is behind with its answers; slowness counts for twenty seconds

Late three times within twenty seconds now, and not counted while workers turn to a new leader. What starts brings reports with it, so that a leader more than a second behind plans only what must start at once, for six seconds at most.

--- a/packages/core/src/leader/fitness.ts
+++ b/packages/core/src/leader/fitness.ts
@@ -9,15 +9,22 @@
 const LATE: Micros = SECOND;
 /** So often within the window; a process that stood still once, and is well again, is late once. */
 const TIMES = 3;
-const WINDOW: Micros = 10 * SECOND;
+const WINDOW: Micros = 20 * SECOND;
 
 export class Fitness {
   private late: Micros[] = [];
+  private last: Micros = 0;
 
-  /** A timer that was due then fires now. */
-  fired(now: Micros, due: Micros): void {
+  /** A timer that was due then fires now. `counts`: not where everybody would be late, as while workers turn to a new leader. */
+  fired(now: Micros, due: Micros, counts = true): void {
+    this.last = now - due;
     this.late = this.late.filter((at) => at > now - WINDOW);
-    if (now - due > LATE) this.late.push(now);
+    if (counts && now - due > LATE) this.late.push(now);
+  }
+
+  /** What came first is not done yet: whoever waits for an answer had better not wait for more. */
+  get behind(): boolean {
+    return this.last > LATE;
   }
 
   get unfit(): boolean {
--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -22,6 +22,8 @@
 const REBUILD_REPORTS = 3;
 const REBUILD_SHARE = 0.1;
 const CHAINS_FRESH = 2 * SECOND;
+/** Plans are put off no longer while this node is behind with its answers. */
+const BEHIND_AT_MOST = 6 * SECOND;
 /** Tasks of one service, and services that come together, are planned for together. */
 const HURRY = 20 * MILLI;
 
@@ -32,6 +34,8 @@
   readonly attempts: Attempts;
   readonly deps: Dependencies;
   readonly fleet: Fleet;
+  /** Whether this node is late with its work. */
+  behind(): boolean;
 }
 
 export class Planner {
@@ -42,6 +46,8 @@
   /** Something changed while no plan could be made. */
   private again = false;
   private lastPlan: Micros = 0;
+  /** Of all that waits. */
+  private lastWhole: Micros = 0;
   /** What the last plan took: the next one waits a multiple of it, so that users' requests get through. */
   private planCost: Micros = 0;
   private chainsAt: Micros = 0;
@@ -181,7 +187,9 @@
     // Owed until the right comes back: a plan rents, and stops some for others. And answers to those who turn to a new
     // leader come before its first plans: on a sixth of a core the starts of these once held up hundreds of workers
     // until their leases ran out. Only the few that must start at once do, where there is room on what is known.
-    const few = this.rebuilding();
+    // So do they later: each plan brings starts and their reports with it, and a node that is behind loses its workers.
+    const behind = this.parts.behind() && ctx.now < this.lastWhole + BEHIND_AT_MOST;
+    const few = this.rebuilding() || behind;
     if (!this.term.entitled() || (few && !this.urgentWaits())) {
       this.again = true;
       return;
@@ -191,6 +199,7 @@
     this.again ||= few;
     this.planCost = ctx.stopwatch() - began;
     this.lastPlan = ctx.now;
+    if (!few) this.lastWhole = ctx.now;
   }
 
   private urgentWaits(): boolean {
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -216,6 +216,7 @@
       attempts: this.attempts,
       deps: this.deps,
       fleet: this.fleet,
+      behind: () => this.fitness.behind,
     });
     this.features = new Features(term, features, this.deps);
   }
@@ -425,7 +426,7 @@
   private sweepLater(): void {
     const due = this.ctx.now + SWEEP;
     this.term.after(SWEEP, () => {
-      this.fitness.fired(this.ctx.now, due);
+      this.fitness.fired(this.ctx.now, due, !this.accounting);
       this.sweep();
       this.sweepLater();
     });
@@ -476,6 +477,11 @@
     if (this.sweeps % 20 === 0) this.summarise();
   }
 
+  /** Workers still turn to this new leader. */
+  private get accounting(): boolean {
+    return this.ctx.now < this.term.office.since + ACCOUNTING * this.ctx.settings.reportUs;
+  }
+
   /**
    * Another takes the office at once. Handovers don't chase each other: a new leader is slow while all turn to it, and who
    * resigned stays the next time, for if all are slow nobody is better.
