--- a/packages/core/src/decision/search.ts
+++ b/packages/core/src/decision/search.ts
@@ -5,7 +5,7 @@
  * alternatives for the first step.
  */
 import { Board, gpuKind, type Group, type Option, type Picture, type Step } from './board.js';
-import type { Micros } from '../model.js';
+import type { JobSpec, Micros } from '../model.js';
 import { spreadLimit } from '../base/room.js';
 
 /** Zones a job may still use: one already taken binds a job that must stay in one zone. */
@@ -229,6 +229,12 @@
   readonly looks: number;
 }
 
+/** What of a job's room is kept in each of so many zones, so that it finds enough wherever it may go. */
+const shareOf = (spec: JobSpec, zones: number): number => {
+  if (spec.sameZone) return spec.tasks;
+  return spec.spread ? spreadLimit(spec) : Math.ceil(spec.tasks / zones);
+};
+
 /** Whether the group can begin at this moment: a gang needs room for all its members. */
 const beginsNow = (b: Board, g: Group): boolean => {
   const wanted = g.spec.shape === 'gang' ? g.count : 1;
@@ -367,7 +373,7 @@
     // What has to start at once comes before the room that is kept for more of it, all else after that.
     const urgent = Math.min(...kept.map((g) => g.spec.priority));
     place(left.filter((g) => g.spec.priority >= urgent));
-    for (const g of kept) for (const zone of b.zones) b.keepRoom(g, zone, spreadLimit(g.spec));
+    for (const g of kept) for (const zone of b.zones) b.keepRoom(g, zone, shareOf(g.spec, b.zones.length));
     place(left.filter((g) => g.spec.priority < urgent));
   }
   for (const g of phantoms) placeGroup(b, g);
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -383,6 +383,10 @@
   assert.equal(startedNow([array], 'run-2'), 16);
   // Half of its tasks in each zone: whichever has room when it comes.
   assert.equal(startedNow([array, kept], 'run-2'), 12);
+  const alone = groupOf({ ...service, spread: false, sameZone: true }, { phantom: true, kept: true });
+  assert.equal(startedNow([array, alone], 'run-2'), 8);
+  const anywhere = groupOf({ ...service, spread: false, tasks: 5 }, { phantom: true, kept: true });
+  assert.equal(startedNow([array, anywhere], 'run-2'), 10);
   const real = groupOf({ ...service, id: 'run-3' }, { reserve: true });
   assert.equal(startedNow([array, real, kept], 'run-3'), 4);
   assert.equal(startedNow([array, real, kept], 'run-2'), 8);
