Idle connections give way once they become scarce; renewals apart tell of a slow leader

From 0.7 of the allowed connections on, those idle for over twelve seconds are closed, longest idle first. A slowed leader's timers are not late, since they come before what waits in sockets; its renewals are: answers over 2.5 s apart count like late timers.

--- a/packages/core/src/leader/fitness.ts
+++ b/packages/core/src/leader/fitness.ts
@@ -3,10 +3,12 @@
  * office for 40 s: its renewals arrived, so nobody else could lead, but the reports of its workers timed out until all
  * their leases had run out (adresy-pomorze rough: 2,706 tasks killed). A state machine of moments.
  */
-import { SECOND, type Micros } from '../model.js';
+import { MILLI, SECOND, type Micros } from '../model.js';
 
 /** So late is no chance of a moment any more: of four seconds that a worker waits for its answer. */
 const LATE: Micros = SECOND;
+/** Answers to renewals further apart than that. */
+const APART: Micros = 2_500 * MILLI;
 /** So often within the window; a process that stood still once, and is well again, is late once. */
 const TIMES = 3;
 const WINDOW: Micros = 20 * SECOND;
@@ -14,6 +16,7 @@
 export class Fitness {
   private late: Micros[] = [];
   private last: Micros = 0;
+  private renewedAt: Micros | null = null;
 
   /** A timer that was due then fires now. `counts`: not where everybody would be late, as while workers turn to a new leader. */
   fired(now: Micros, due: Micros, counts = true): void {
@@ -22,6 +25,17 @@
     if (counts && now - due > LATE) this.late.push(now);
   }
 
+  /**
+   * A renewal was answered. They are sent every second or so and answered within some milliseconds: answers so far apart mean
+   * that those between came too late, though the service serves this node. Timers alone don't tell: they come before
+   * whatever waits in sockets.
+   */
+  renewed(now: Micros, counts = true): void {
+    const gap = this.renewedAt === null ? 0 : now - this.renewedAt;
+    this.renewedAt = now;
+    if (counts && gap > APART) this.late.push(now);
+  }
+
   /** What came first is not done yet: whoever waits for an answer had better not wait for more. */
   get behind(): boolean {
     return this.last > LATE;
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -271,6 +271,9 @@
       },
     });
     this.takeover.start();
+    this.leadership.onRenewed = () => {
+      this.fitness.renewed(this.ctx.now, !this.accounting);
+    };
     this.tell();
     this.sweepLater();
   }
@@ -287,6 +290,7 @@
 
   stop(): void {
     this.term.stopped = true;
+    this.leadership.onRenewed = null;
     this.writer.stop();
     this.features.tell((f) => {
       f.stop();
--- a/packages/core/src/office/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -59,6 +59,8 @@
   private rightEnds: Micros = 0;
   /** When this process last gave an office up on purpose. */
   resignedAt: Micros | null = null;
+  /** Told of each renewal that was answered. */
+  onRenewed: (() => void) | null = null;
   private holdOffUntil: Micros = 0;
   private looking = false;
   private acquiring = false;
@@ -298,6 +300,7 @@
     this.ctx.state({ kind: 'renew', lease: office.lease }, 0, (r) => {
       if (this.office !== office) return;
       if (r.kind === 'ok') {
+        this.onRenewed?.();
         if (this.holdOffUntil > this.ctx.now) this.comingBack = null;
         else if (this.hasRight()) this.extend(sent);
         else this.resume(office, sent);
--- a/packages/core/test/fitness.test.ts
+++ b/packages/core/test/fitness.test.ts
@@ -29,6 +29,17 @@
   assert.equal(f.behind, true);
 });
 
+test('answers to renewals far apart count as well', () => {
+  const f = new Fitness();
+  for (let t = 1; t < 30; t += 1.2) f.renewed(t * SECOND);
+  for (const t of [33, 36]) f.renewed(t * SECOND);
+  assert.equal(f.unfit, false);
+  f.renewed(40 * SECOND, false);
+  assert.equal(f.unfit, false);
+  f.renewed(44 * SECOND);
+  assert.equal(f.unfit, true);
+});
+
 const world = (seed: number, nodes: number): { w: World; leader: () => string; log: string[] } => {
   const w = new World(new Random(seed), nodes, '[[cluster.teams]]\nname = "t"\n', 1e9, 20);
   w.runFor(3 * SECOND);
--- a/packages/runtime/src/servers.ts
+++ b/packages/runtime/src/servers.ts
@@ -1,5 +1,6 @@
 /** The listening sides: users, workers and health checks on one address, other controllers on another. */
 import * as http from 'node:http';
+import type { Socket } from 'node:net';
 import { Effect, type Scope } from 'effect';
 import { MAX_BODY } from '@shaleyoke/protocol/body';
 
@@ -58,10 +59,50 @@
   req.on('error', () => undefined);
 };
 
+/** From this share of all connections on, room is made for new ones. */
+const CROWDED = 0.7;
+/** Users and workers come every few seconds: who has not for so long is away, or behind a cut that took the end with it. */
+const AWAY_MS = 12_000;
+
+/**
+ * Closes what has been idle for long once connections become scarce, longest first. After a cut those that nobody ended
+ * stayed for two minutes: a leader's were all taken, new ones refused, and 281 machines that could not report were deleted
+ * as silent (a recorded day of adresy-pomorze).
+ */
+const makeRoom = (server: http.Server, maxConnections: number, awayMs: number): void => {
+  /** Since when, in the order of that. */
+  const idle = new Map<Socket, number>();
+  let open = 0;
+  const rests = (s: Socket): void => {
+    idle.delete(s);
+    if (!s.destroyed) idle.set(s, performance.now());
+  };
+  server.on('connection', (s) => {
+    open++;
+    s.once('close', () => {
+      open--;
+      idle.delete(s);
+    });
+    rests(s);
+    if (open <= maxConnections * CROWDED) return;
+    for (const [other, since] of idle) {
+      if (other === s || performance.now() - since < awayMs) break;
+      other.destroy();
+    }
+  });
+  server.on('request', (req, res) => {
+    idle.delete(req.socket);
+    res.once('close', () => {
+      rests(req.socket);
+    });
+  });
+};
+
 export const listen = (
   address: string,
   maxConnections: number,
   handle: Handler,
+  awayMs = AWAY_MS,
 ): Effect.Effect<http.Server, Error, Scope.Scope> =>
   Effect.acquireRelease(
     Effect.async<http.Server, Error>((resume) => {
@@ -73,7 +114,10 @@
       server.keepAliveTimeout = 120_000;
       server.headersTimeout = 20_000;
       server.requestTimeout = 20_000;
-      if (maxConnections > 0) server.maxConnections = maxConnections;
+      if (maxConnections > 0) {
+        server.maxConnections = maxConnections;
+        makeRoom(server, maxConnections, awayMs);
+      }
       server.on('clientError', (_e, socket) => {
         if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
         else socket.destroy();
