Read again: one owner for a new leader's first intervals, a flag and a check that were spare

How long workers turn to a new leader stood in planner and scheduler; it is the term's now (differing by a microsecond at the very end). Standing's flag beside its state became a state. Fleet's check on rebuilding was dead: only whole plans rent, and these wait for it.

--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -18,8 +18,7 @@
 const MAX_REPRESENTED = 160;
 /** Plans pause for this many times what the last one took: users and workers must get through between. */
 const PLAN_PAUSE = 6;
-/** A new leader rents nothing until so many report intervals have passed, or all but this share is known. */
-const REBUILD_REPORTS = 3;
+/** A new leader plans little while workers turn to it, until all but this share is known. */
 const REBUILD_SHARE = 0.1;
 const CHAINS_FRESH = 2 * SECOND;
 /** Plans are put off no longer while this node is behind with its answers. */
@@ -168,9 +167,9 @@
    * A new leader rebuilds from reports first. Machines that have not reported to it are not in its picture: it
    * would rent for all that waits beside them, and did so at each change of leader, the dearest types too.
    */
-  rebuilding(): boolean {
-    const { ctx, office, estate } = this.term;
-    if (ctx.now > office.since + REBUILD_REPORTS * ctx.settings.reportUs) return false;
+  private rebuilding(): boolean {
+    const { estate } = this.term;
+    if (!this.term.accounting) return false;
     let all = 0;
     let unknown = 0;
     for (const m of estate.machines.values()) {
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -37,8 +37,6 @@
 const SWEEP = 500 * MILLI;
 /** Who gave the office up for slowness does not stand for it again so soon. */
 const HOLD_OFF = 20 * SECOND;
-/** Report intervals in which workers turn to a new leader. */
-const ACCOUNTING = 3;
 /** What could begin for no longer than this counts as having just come. */
 const FRESH = 5 * SECOND;
 
@@ -144,7 +142,6 @@
       active: () => !term.stopped,
       entitled: () => term.entitled(),
       thrifty: () => estate.thrifty(),
-      rebuilding: () => this.planner.rebuilding(),
     });
     this.silence = new Silence(term, this.park, end);
     this.consolidation = new Consolidation(estate, stop, retireWhenEmpty);
@@ -272,7 +269,7 @@
     });
     this.takeover.start();
     this.leadership.onRenewed = () => {
-      this.fitness.renewed(this.ctx.now, !this.accounting);
+      this.fitness.renewed(this.ctx.now, !this.term.accounting);
     };
     this.tell();
     this.sweepLater();
@@ -430,7 +427,7 @@
   private sweepLater(): void {
     const due = this.ctx.now + SWEEP;
     this.term.after(SWEEP, () => {
-      this.fitness.fired(this.ctx.now, due, !this.accounting);
+      this.fitness.fired(this.ctx.now, due, !this.term.accounting);
       this.sweep();
       this.sweepLater();
     });
@@ -481,11 +478,6 @@
     if (this.sweeps % 20 === 0) this.summarise();
   }
 
-  /** Workers still turn to this new leader. */
-  private get accounting(): boolean {
-    return this.ctx.now < this.term.office.since + ACCOUNTING * this.ctx.settings.reportUs;
-  }
-
   /**
    * Another takes the office at once. Handovers don't chase each other: a new leader is slow while all turn to it, and who
    * resigned stays the next time, for if all are slow nobody is better.
@@ -493,8 +485,7 @@
   private mayResign(): boolean {
     const { now, settings } = this.ctx;
     const { resignedAt } = this.leadership;
-    if (settings.peers.length === 0 || now < this.term.office.since + ACCOUNTING * settings.reportUs)
-      return false;
+    if (settings.peers.length === 0 || this.term.accounting) return false;
     return resignedAt === null || now - resignedAt > 4 * settings.leaseUs;
   }
 
--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -29,8 +29,6 @@
   /** Whether anything may be decided now. */
   entitled(): boolean;
   thrifty(): boolean;
-  /** Most of what is there is not known yet. */
-  rebuilding(): boolean;
 }
 
 const MAX_RENT = 50;
@@ -181,7 +179,6 @@
     const { standing } = this.host;
     if (standing.open && d.picture.rented.size > 0) standing.settle([]);
     if (!standing.settled) return;
-    if (this.host.rebuilding()) return;
     for (const [r, count] of d.picture.rented) {
       if (count <= 0) continue;
       const key = offerKey(r.type.name, r.zone, r.spot);
--- a/packages/core/src/machines/standing.ts
+++ b/packages/core/src/machines/standing.ts
@@ -16,8 +16,7 @@
 const CONFIRMED: Micros = 10 * SECOND;
 
 export class Standing {
-  private state: 'open' | 'recording' | 'closed';
-  private closing = false;
+  private state: 'open' | 'recording' | 'closing' | 'closed';
 
   constructor(
     private readonly term: Term,
@@ -61,8 +60,8 @@
   }
 
   private close(): void {
-    if (this.closing) return;
-    this.closing = true;
+    if (this.state !== 'recording') return;
+    this.state = 'closing';
     this.writer.put(
       TERM,
       () => termRecord(this.term.no, false),
--- a/packages/core/src/office/term.ts
+++ b/packages/core/src/office/term.ts
@@ -8,6 +8,8 @@
 /** Room for raising the token and numbering attempts within a term; products stay below 2^53. */
 const TOKENS_PER_TERM = 2 ** 20;
 const ATTEMPTS_PER_TERM = 2 ** 24;
+/** Report intervals in which workers turn to a new leader. */
+const ACCOUNTING_REPORTS = 3;
 
 export class Term {
   readonly no: number;
@@ -38,6 +40,11 @@
     return this.leadership.hasRight();
   }
 
+  /** Workers still turn to this new leader. */
+  get accounting(): boolean {
+    return this.ctx.now <= this.office.since + ACCOUNTING_REPORTS * this.ctx.settings.reportUs;
+  }
+
   /** Every token of this term exceeds all of earlier ones. */
   get firstToken(): number {
     return this.no * TOKENS_PER_TERM;
