A leader renews and starts only with fresh knowledge of cancellations

Cause: any node confirms cancellations, but the leader's right rested on its lease alone. A new leader answered 200 without orders while it read the records; renewals went on while its watch hung or its lists were slow; then a worker that heard nothing more kept tasks of a cancelled job for a whole lease after that.

Change: `Freshness` owns how old the knowledge may be: cancel_s - lease_s, less drift and a second. It is proved by answers to watches and lists, counted from when these were asked for (of a list: its first page). No 200, start or return of the right without it (`Leadership.hasRight`). The jobs are listed first of all; until the records are read, answers carry the stops of what is over. Every 200 has them, also for a report that was overtaken; a start on its way for a job that is over is fenced; a job that is over is not waited for while it saves; more stops than an answer holds are no renewal. Watches last a quarter of the bound at most, and are asked beside when late. What a list or watch tells again is told by its revision. The special return of the right by a list is gone.

Ruled out: 503 to workers until all records are read (costs leases in slow takeovers); resigning when the watch hangs (the list tells as well, and the next leader may be no better off).

--- a/packages/core/src/attempts/attempts.ts
+++ b/packages/core/src/attempts/attempts.ts
@@ -8,6 +8,9 @@
 import { SECOND } from '../model.js';
 import type { Term } from '../office/term.js';
 
+/** Orders that one message to a worker holds: it may have 64 KiB. */
+export const MAX_ORDERS = 400;
+
 export interface AttemptsHost {
   /** Puts the places of a job on record: nothing is sent there before. */
   place(job: ActiveJob, then: () => void, refused: () => void): void;
@@ -201,7 +204,9 @@
 
   /** `graceUs`: time to save; 0 stops at once. */
   stop(a: Attempt, graceUs: Micros): void {
-    if (a.stopping !== null) return;
+    // Whoever is saving is not waited for once the job is over.
+    const sooner = a.job.phase !== 'active' && graceUs === 0 && a.stopping !== null && a.stopping.graceUs > 0;
+    if (a.stopping !== null && !sooner) return;
     if (a.state === 'recording') {
       // Never sent, so it is nowhere.
       this.end(a, null);
@@ -226,6 +231,19 @@
     return true;
   }
 
+  /**
+   * A start on its way whose job has ended: whoever is answered without having it yet must refuse it, else it could be
+   * begun as long as the lease that the answer renews.
+   */
+  refuseLate(m: Machine): void {
+    const token = this.term.tokenOf(m);
+    for (const a of m.attempts.values())
+      if (a.job.phase === 'ended' && a.state === 'sent' && a.token >= token) {
+        m.fence++;
+        return;
+      }
+  }
+
   /** From the worker's next message on, copies of all starts sent so far are refused. */
   private raise(m: Machine): void {
     if (m.startedUnder === this.term.tokenOf(m)) m.fence++;
@@ -253,8 +271,7 @@
   /** Sends what waits for a machine, one call at a time. */
   pump(m: Machine): void {
     if (m.calling || m.outbox.length === 0 || m.address === '') return;
-    const batch = m.outbox;
-    m.outbox = [];
+    const batch = m.outbox.splice(0, MAX_ORDERS);
     const starts: Attempt[] = [];
     // The same task again takes the place of what the worker keeps of its end, as a `forget` does.
     if (batch.some((o) => o.op === 'start' && m.endedUnder.has(attemptKey(o.job, o.index)))) this.raise(m);
--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -1,5 +1,5 @@
 /** What workers report: which tasks are where, what ended and how, and what each worker is to do. */
-import type { Attempts } from './attempts.js';
+import { MAX_ORDERS, type Attempts } from './attempts.js';
 import { attemptKey, type ActiveJob, type Attempt, type Machine } from '../picture/cluster.js';
 import { gangAttempt, leftovers } from './gangs.js';
 import type { JobSpec, Order, Report, ReportedTask, WorkerAnswer } from '../model.js';
@@ -7,8 +7,6 @@
 import type { Park } from '../machines/park.js';
 import type { Term } from '../office/term.js';
 
-const MAX_ORDERS = 400;
-
 export interface ReportsHost {
   /** The results of a task are there. */
   markDone(job: ActiveJob, index: number): void;
@@ -48,8 +46,18 @@
     m.lastReport = ctx.now;
     if (newer) this.take(m, r);
     this.park.record(m);
-    const orders = newer && this.term.ready ? this.ordersFor(m, r) : [];
-    return { kind: 'accepted', token: this.term.tokenOf(m), orders };
+    // Whatever is answered with 200 renews the lease of all that runs there: it has the orders to stop what is over,
+    // also if something newer was heard meanwhile by another way, and while the records are still being read.
+    const stops = this.term.ready ? this.stopsFor(m, r) : this.earlyStops(r);
+    if (stops.length > MAX_ORDERS) {
+      // More than an answer holds: they are sent directly, and what they are for is not renewed before it is less.
+      if (m.outbox.length === 0) m.outbox.push(...stops);
+      this.attempts.pump(m);
+      return { kind: 'unavailable' };
+    }
+    this.attempts.refuseLate(m);
+    const forgets = newer && this.term.ready ? this.forgetsFor(m, r, MAX_ORDERS - stops.length) : [];
+    return { kind: 'accepted', token: this.term.tokenOf(m), orders: [...stops, ...forgets] };
   }
 
   /**
@@ -204,33 +212,54 @@
   }
 
   /** Derived anew from each report, so nothing is forgotten when an answer is lost. */
-  private ordersFor(m: Machine, r: Report): Order[] {
+  private stopsFor(m: Machine, r: Report): Order[] {
     const orders: Order[] = [];
-    let forgets: boolean | null = null;
+    const listed = new Set<Attempt>();
     for (const t of r.tasks) {
-      if (orders.length >= MAX_ORDERS) break;
+      if (t.state === 'exited') continue;
       const id = { job: t.job, index: t.index, attempt: t.attempt };
-      const job = this.term.estate.jobs.get(t.job);
-      if (t.state === 'exited') {
-        // The worker keeps a result until it is written; only then may it forget.
-        const held =
-          t.cause === 'done' &&
-          job !== undefined &&
-          (job.phase === 'finishing' || (job.phase === 'active' && !job.durable.has(t.index)));
-        // Only what was done: its task never starts again, so nobody is refused for what is kept there.
-        if (held || (t.cause === 'done' && this.host.keeps(t))) continue;
-        forgets ??= this.attempts.mayForget(m);
-        if (forgets) orders.push({ op: 'forget', ...id });
-        continue;
-      }
       const a = m.attempts.get(attemptKey(t.job, t.index));
       if (a === undefined || a.no !== t.attempt) {
         orders.push({ op: 'stop', ...id, graceUs: 0 });
-      } else if (a.stopping !== null) {
-        const over = this.term.ctx.now - a.stopping.since > a.stopping.graceUs + 3 * SECOND;
-        if (t.state !== 'saving' || over)
-          orders.push({ op: 'stop', ...id, graceUs: over ? 0 : a.stopping.graceUs });
+        continue;
       }
+      listed.add(a);
+      if (a.stopping === null) continue;
+      const late = this.term.ctx.now - a.stopping.since > a.stopping.graceUs + 3 * SECOND;
+      const over = late || a.job.phase === 'ended';
+      if (t.state !== 'saving' || over)
+        orders.push({ op: 'stop', ...id, graceUs: over ? 0 : a.stopping.graceUs });
+    }
+    // Begun since the report was made, or the order to stop is still on its way.
+    for (const a of m.attempts.values())
+      if (!listed.has(a) && a.stopping !== null && a.job.phase === 'ended')
+        orders.push({ op: 'stop', job: a.job.id, index: a.index, attempt: a.no, graceUs: 0 });
+    return orders;
+  }
+
+  /** Before the records are read: tasks of jobs that had ended by then. Nothing else is known to be over. */
+  private earlyStops(r: Report): Order[] {
+    const { listed } = this.term;
+    return r.tasks
+      .filter((t) => t.state !== 'exited' && listed !== null && !listed.has(t.job))
+      .map((t) => ({ op: 'stop' as const, job: t.job, index: t.index, attempt: t.attempt, graceUs: 0 }));
+  }
+
+  private forgetsFor(m: Machine, r: Report, most: number): Order[] {
+    const orders: Order[] = [];
+    for (const t of r.tasks) {
+      if (orders.length >= most) break;
+      if (t.state !== 'exited') continue;
+      const job = this.term.estate.jobs.get(t.job);
+      // The worker keeps a result until it is written; only then may it forget.
+      const held =
+        t.cause === 'done' &&
+        job !== undefined &&
+        (job.phase === 'finishing' || (job.phase === 'active' && !job.durable.has(t.index)));
+      // Only what was done: its task never starts again, so nobody is refused for what is kept there.
+      if (held || (t.cause === 'done' && this.host.keeps(t))) continue;
+      if (!this.attempts.mayForget(m)) break;
+      orders.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
     }
     return orders;
   }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -58,9 +58,6 @@
         this.scheduler?.stop();
         this.scheduler = null;
       },
-      (done) => {
-        this.scheduler?.catchUp(done);
-      },
     );
     this.beats =
       settings.membership === null || settings.peers.length === 0
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -249,7 +249,9 @@
   }
 
   start(): void {
-    this.takeover = new Takeover(this.term, {
+    const { freshness } = this.leadership;
+    if (freshness === null) return;
+    this.takeover = new Takeover(this.term, freshness, {
       rebuild: (read, timings) => {
         this.rebuild(read, timings);
       },
@@ -275,16 +277,6 @@
     this.sweepLater();
   }
 
-  /** Reads which jobs there are; `done` once what others were told until now is known here. */
-  catchUp(done: () => void): void {
-    // Records that are still being read may have been read before that.
-    if (this.term.ready) this.takeover?.catchUp(done);
-    else
-      this.term.after(100 * MILLI, () => {
-        this.catchUp(done);
-      });
-  }
-
   stop(): void {
     this.term.stopped = true;
     this.leadership.onRenewed = null;
@@ -355,6 +347,9 @@
       this.ctx.error('job.unreadable', { job: id });
       return;
     }
+    // A list of several pages may show a job whose end this leader has written since. One that waits for others may be
+    // told as cancelled though its own record has yet to say so.
+    if (rec.spec.needs.length === 0 && this.desk.hasEnded(id)) return;
     const job = new ActiveJob(rec.spec, version, rec.at, this.ctx.now);
     jobs.set(id, job);
     if (fresh) {
@@ -437,6 +432,7 @@
     const { settings } = this.ctx;
     const { estate } = this.term;
     this.sweeps++;
+    this.takeover?.keepFresh();
     const entitled = this.term.entitled();
     this.silence.noteRight(entitled);
     if (this.sweeps % 2 === 0) this.tell();
--- a/packages/core/src/machines/silence.ts
+++ b/packages/core/src/machines/silence.ts
@@ -1,6 +1,6 @@
 /** Who does not report: leases that ran out, machines to be deleted, and when the network is at fault. */
 import type { Attempt, Machine } from '../picture/cluster.js';
-import { DRIFT } from '../office/leadership.js';
+import { DRIFT } from '../office/freshness.js';
 import { MILLI, SECOND, type Micros } from '../model.js';
 import type { Park } from './park.js';
 import type { Term } from '../office/term.js';
--- /dev/null
+++ b/packages/core/src/office/freshness.ts
@@ -0,0 +1,45 @@
+/**
+ * How old this leader's knowledge of cancellations may be: the one owner of that. Any node confirms cancellations, also
+ * while this one leads, so that the office alone says nothing of what users were told meanwhile.
+ *
+ * Whatever renews a worker's lease or starts a task is sent with knowledge of all cancellations that were confirmed
+ * until `bound` before. So of a job that was cancelled at t nothing is renewed or started after t + bound without the
+ * order to stop it, and what was renewed until then has run out a lease later: within `cancel_s` (docs/safety.md).
+ */
+import type { Micros, Settings } from '../model.js';
+import { SECOND } from '../model.js';
+
+/** Steady clocks drift apart by up to 0.05%; twice that is taken off every lease. */
+export const DRIFT = 0.001;
+
+/** For what lies between the end of a lease and its tasks being gone. */
+const MARGIN: Micros = SECOND;
+/** Where `cancel_s` leaves less than that no leader could do its work: it is then not kept (see `check-config`). */
+export const LEAST_BOUND: Micros = 3 * SECOND;
+
+/** What `cancel_s` leaves beside a worker's lease, clocks at their worst; the leader's knowledge may be that old. */
+export const freshnessBound = (s: Pick<Settings, 'cancelUs' | 'leaseUs'>): Micros =>
+  Math.floor((s.cancelUs - s.leaseUs * (1 + 2 * DRIFT) - MARGIN) * (1 - DRIFT));
+
+export class Freshness {
+  readonly bound: Micros;
+  private knownAt: Micros | null = null;
+
+  constructor(settings: Pick<Settings, 'cancelUs' | 'leaseUs'>) {
+    this.bound = Math.max(LEAST_BOUND, freshnessBound(settings));
+  }
+
+  /** All that was confirmed before is known here; `sent`: when the request was sent whose answer showed it. */
+  proved(sent: Micros): void {
+    this.knownAt = Math.max(this.knownAt ?? sent, sent);
+  }
+
+  holds(now: Micros): boolean {
+    return this.knownAt !== null && now < this.knownAt + this.bound;
+  }
+
+  /** Half of the time has passed: time to ask by itself, since what was asked for may never be answered. */
+  due(now: Micros): boolean {
+    return this.knownAt !== null && now >= this.knownAt + Math.floor(this.bound / 2);
+  }
+}
--- a/packages/core/src/office/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -6,9 +6,7 @@
 import { LEAD, TERM } from '../base/keys.js';
 import type { Micros, StateReply } from '../model.js';
 import { MILLI, SECOND } from '../model.js';
-
-/** Steady clocks drift apart by up to 0.05%; twice that is taken off every lease. */
-export const DRIFT = 0.001;
+import { DRIFT, Freshness } from './freshness.js';
 
 /** Of the lease's length: how long one look at the leader's key lasts, so that a lost link shows soon. */
 const WATCH_PART = 0.5;
@@ -52,6 +50,8 @@
 
 export class Leadership {
   office: Office | null = null;
+  /** What this leader knows of cancellations, and since when; null: no office. */
+  freshness: Freshness | null = null;
   /** Who was last known to lead; null when that office is known to have ended. */
   private seen: Seen | null = null;
   /** The highest term that this node has heard of. */
@@ -65,24 +65,26 @@
   private looking = false;
   private acquiring = false;
   private renewSeq = 0;
-  /** When the newest renewal was sent that succeeded while the right was over; null: it is not coming back. */
-  private comingBack: Micros | null = null;
+  private suspended = false;
 
   constructor(
     private readonly ctx: Context,
     private readonly onWon: (office: Office) => void,
     private readonly onLost: () => void,
-    /** Learns what the state service has told others since this node last heard of it; `done` once that is known. */
-    private readonly catchUp: (done: () => void) => void,
   ) {}
 
   private get ttl(): Micros {
     return this.ctx.settings.tuning.leaderLeaseUs;
   }
 
-  /** Whether orders and 200s may be sent now. */
+  /**
+   * Whether orders and 200s may be sent now: the office is held, and what others were told of cancellations is known. A
+   * lease that is renewed shows only the first: where only answers were lost, or a watch hung, renewals went on while
+   * others were told of cancellations (ran_cancelled, in generated histories).
+   */
   hasRight(): boolean {
-    return this.office !== null && this.ctx.now < this.rightEnds;
+    const { now } = this.ctx;
+    return this.office !== null && now < this.rightEnds && this.freshness?.holds(now) === true;
   }
 
   /**
@@ -136,8 +138,9 @@
     if (this.office === null) return;
     this.ctx.info('leader.lost', { term: this.office.term, reason });
     this.office = null;
+    this.freshness = null;
     this.rightEnds = 0;
-    this.comingBack = null;
+    this.suspended = false;
     this.seen = null;
     this.ctx.emit({ kind: 'role', leader: false });
     this.onLost();
@@ -250,6 +253,7 @@
         this.acquiring = false;
         this.note(value.member, term);
         this.office = { term, version: r.revision, lease, since: this.ctx.now, first };
+        this.freshness = new Freshness(this.ctx.settings);
         this.extend(sent);
         this.ctx.emit({ kind: 'role', leader: true });
         this.ctx.info('leader.won', { term });
@@ -269,24 +273,6 @@
     this.rightEnds = Math.max(this.rightEnds, sent + Math.floor(this.ttl * (1 - DRIFT)) - 20 * MILLI);
   }
 
-  /**
-   * The lease had never ended, but this node may have heard nothing for much longer than its right lasts: where only the
-   * answers were lost, renewals went on being executed while others were told of cancellations. A task of a job cancelled
-   * 46 s before was started so (ran_cancelled, in a generated history). The right is back once that is read.
-   */
-  private resume(office: Office, sent: Micros): void {
-    const waits = this.comingBack !== null;
-    this.comingBack = sent;
-    if (waits) return;
-    this.catchUp(() => {
-      const newest = this.comingBack;
-      this.comingBack = null;
-      if (this.office !== office || newest === null) return;
-      this.extend(newest);
-      this.ctx.info('leader.resumed', { term: office.term });
-    });
-  }
-
   private renewLater(office: Office): void {
     const seq = ++this.renewSeq;
     this.ctx.after(Math.floor(this.ttl / 5), () => {
@@ -301,16 +287,23 @@
       if (this.office !== office) return;
       if (r.kind === 'ok') {
         this.onRenewed?.();
-        if (this.holdOffUntil > this.ctx.now) this.comingBack = null;
-        else if (this.hasRight()) this.extend(sent);
-        else this.resume(office, sent);
+        if (this.holdOffUntil <= this.ctx.now) this.extend(sent);
       } else if (r.kind === 'noLease') {
         this.lose('lease ended');
         return;
-      } else if (!this.hasRight()) {
-        this.ctx.info('leader.suspended', { term: office.term });
       }
+      this.noteRight(office);
       this.renewLater(office);
     });
   }
+
+  private noteRight(office: Office): void {
+    const before = this.suspended;
+    this.suspended = !this.hasRight();
+    // The office is held, but what others were told is not known.
+    const behind = this.suspended && this.ctx.now < this.rightEnds;
+    if (this.suspended)
+      this.ctx.info('leader.suspended', { term: office.term, ...(behind ? { behind } : {}) });
+    else if (before) this.ctx.info('leader.resumed', { term: office.term });
+  }
 }
--- a/packages/core/src/office/takeover.ts
+++ b/packages/core/src/office/takeover.ts
@@ -1,11 +1,16 @@
 /** What a new leader reads of its predecessors, and how it hears of jobs from then on. */
 import { MACHINES, JOBS, PLACES, PROGRESS, ROSTER, TIMINGS } from '../base/keys.js';
 import type { Item, Micros, StateEvent } from '../model.js';
-import { MILLI } from '../model.js';
+import { MILLI, SECOND } from '../model.js';
+import type { Freshness } from './freshness.js';
 import type { Term } from './term.js';
 
 const PAGE = 500;
 const WATCH_MS = 8_000;
+/** An open watch proves nothing before it is answered: it lasts for so much of what knowledge may be old at most. */
+const WATCH_PART = 0.25;
+/** How often what is known is asked for by itself once the watch is late. */
+const PROBE_EVERY: Micros = SECOND;
 
 export interface TakeoverHost {
   /** All that was read; `read` gives the items under a prefix. `timings`: the stored summary, or null. */
@@ -18,22 +23,41 @@
   present(ids: ReadonlySet<string>, revision: number): void;
 }
 
+interface Listed {
+  readonly items: Item[];
+  /** Of the first page: what changed later may or may not be in the list. */
+  readonly revision: number;
+  /** When the first page was asked for. */
+  readonly sent: Micros;
+}
+
 export class Takeover {
+  /**
+   * All changes of jobs up to this revision are in the picture. What tells of them again changes nothing: a watch that
+   * had hung once told of a job's beginning after a list had shown its end.
+   */
+  private cursor = 0;
+  private probing = false;
+
   constructor(
     private readonly term: Term,
+    private readonly freshness: Freshness,
     private readonly host: TakeoverHost,
   ) {}
 
-  /** Six reads at any size: the records come in pages. */
+  /** Six reads at any size: the records come in pages. The jobs come first: workers are answered from then on. */
   start(): void {
     const lists = new Map<string, Item[]>();
     const prefixes = [JOBS, PLACES, ROSTER, PROGRESS, MACHINES];
-    let revision = 0;
     const next = (i: number): void => {
       const prefix = prefixes[i];
       if (prefix !== undefined) {
-        this.listAll(prefix, (items, rev) => {
-          if (i === 0) revision = rev;
+        this.listAll(prefix, ({ items, revision, sent }) => {
+          if (prefix === JOBS) {
+            this.cursor = revision;
+            this.term.listed = new Set(items.map((it) => it.key.slice(JOBS.length)));
+            this.freshness.proved(sent);
+          }
           lists.set(prefix, items);
           next(i + 1);
         });
@@ -42,16 +66,18 @@
       this.term.ctx.state({ kind: 'get', key: TIMINGS }, 2, (t) => {
         if (this.term.stopped) return;
         this.host.rebuild((p) => lists.get(p) ?? [], t.kind === 'item' ? t.item : null);
-        this.watch(revision);
+        // What changed while the rest was read is asked for at once.
+        this.watch(0);
       });
     };
     next(0);
   }
 
-  private listAll(prefix: string, then: (items: Item[], revision: number) => void): void {
+  private listAll(prefix: string, then: (l: Listed) => void): void {
     let items: Item[] = [];
-    let first: number | null = null;
+    let first: { revision: number; sent: Micros } | null = null;
     const page = (after: string | undefined): void => {
+      const sent = this.term.ctx.now;
       this.term.ctx.state(
         { kind: 'list', prefix, limit: PAGE, ...(after === undefined ? {} : { after }) },
         0,
@@ -63,11 +89,12 @@
             });
             return;
           }
-          first ??= r.revision;
+          // However long the others take: a job on this page may have ended since.
+          first ??= { revision: r.revision, sent };
           items = items.concat(r.items);
           const last = r.items.at(-1);
           if (r.more && last !== undefined) page(last.key);
-          else then(items, first);
+          else then({ items, ...first });
         },
       );
     };
@@ -78,39 +105,70 @@
     this.term.after(delay, run);
   }
 
-  private watch(after: number): void {
-    this.term.ctx.state({ kind: 'watch', prefix: JOBS, after, waitMs: WATCH_MS }, 0, (r) => {
-      if (this.term.stopped) return;
-      if (r.kind === 'events') {
-        for (const e of r.events) this.onJobEvent(e);
-        this.watch(Math.max(after, r.revision));
-      } else if (r.kind === 'tooOld') {
-        this.resync();
-      } else {
+  private get watchMs(): number {
+    return Math.min(WATCH_MS, Math.max(100, Math.floor((this.freshness.bound * WATCH_PART) / MILLI)));
+  }
+
+  private watch(waitMs = this.watchMs): void {
+    this.follow(waitMs, (ok) => {
+      if (ok) this.watch();
+      else
         this.later(200 * MILLI, () => {
-          this.watch(after);
+          this.watch();
         });
-      }
     });
   }
 
-  private resync(): void {
-    this.readJobs((revision) => {
-      this.watch(revision);
+  /**
+   * Asks for all changes since the last that is known. An answer shows what was confirmed before it was asked for,
+   * whether it waited or not; nothing else does.
+   */
+  private follow(waitMs: number, then: (ok: boolean) => void): void {
+    const sent = this.term.ctx.now;
+    const after = this.cursor;
+    this.term.ctx.state({ kind: 'watch', prefix: JOBS, after, waitMs }, 0, (r) => {
+      if (this.term.stopped) return;
+      if (r.kind === 'events' && r.revision >= after) {
+        for (const e of r.events) if (e.version > this.cursor) this.onJobEvent(e);
+        this.cursor = Math.max(this.cursor, r.revision);
+        this.freshness.proved(sent);
+        then(true);
+      } else if (r.kind === 'tooOld') {
+        this.readJobs(() => {
+          then(true);
+        });
+      } else {
+        if (r.kind === 'events') this.term.ctx.info('watch.went_back', { to: r.revision, from: after });
+        then(false);
+      }
     });
   }
 
-  /** The watch may be minutes behind: what it tells later again changes nothing. */
-  catchUp(done: () => void): void {
-    this.readJobs(done);
+  /** To be called often: asks beside a watch that isn't answered, and reads the jobs anew if that isn't either. */
+  keepFresh(): void {
+    const { now } = this.term.ctx;
+    if (this.probing || !this.term.ready || !this.freshness.due(now)) return;
+    this.probing = true;
+    const rest = (): void => {
+      this.later(PROBE_EVERY, () => {
+        this.probing = false;
+      });
+    };
+    this.follow(0, (ok) => {
+      if (ok) rest();
+      else this.readJobs(rest);
+    });
   }
 
-  private readJobs(then: (revision: number) => void): void {
-    this.listAll(JOBS, (items, revision) => {
+  private readJobs(then: () => void): void {
+    this.listAll(JOBS, ({ items, revision, sent }) => {
       const present = new Set(items.map((it) => it.key.slice(JOBS.length)));
-      for (const it of items) this.host.appeared(it.key.slice(JOBS.length), it.value, it.version);
+      for (const it of items)
+        if (it.version > this.cursor) this.host.appeared(it.key.slice(JOBS.length), it.value, it.version);
       this.host.present(present, revision);
-      then(revision);
+      this.cursor = Math.max(this.cursor, revision);
+      this.freshness.proved(sent);
+      then();
     });
   }
 
--- a/packages/core/src/office/term.ts
+++ b/packages/core/src/office/term.ts
@@ -16,6 +16,8 @@
   readonly estate: Estate;
   /** The records of earlier leaders are read. */
   ready = false;
+  /** Before that: the jobs that had not ended when they were listed, which comes first of all; null: not yet listed. */
+  listed: ReadonlySet<string> | null = null;
   /** The office is lost: whatever still comes back is for nobody. */
   stopped = false;
   /** Silence is counted from here: from the term's begin or the last return of the right. */
--- a/packages/core/src/users/desk.ts
+++ b/packages/core/src/users/desk.ts
@@ -133,6 +133,11 @@
     }
   }
 
+  /** Whether this node knows of the job's end. */
+  hasEnded(id: string): boolean {
+    return this.final(id);
+  }
+
   /** The leader learns of ends from its own writes and its watch. */
   noteEnded(id: string, stage: 'done' | 'cancelled', done: number, service = false): void {
     this.remember(id, { kind: 'ended', stage, done, service });
