--- /dev/null
+++ b/packages/settings/src/contradictions.ts
@@ -0,0 +1,65 @@
+/** What the platform's settings say against each other: each with its field and what to do. */
+import { freshnessBound, LEAST_BOUND } from '@shaleyoke/core/office/freshness';
+import { SECOND, type Settings } from '@shaleyoke/core/model';
+
+export interface Contradiction {
+  /** `error`: a rule can't be kept so; `warning`: something else can't. */
+  readonly level: 'error' | 'warning';
+  readonly field: string;
+  readonly problem: string;
+  readonly remedy: string;
+}
+
+const seconds = (us: number): string => (us / SECOND).toFixed(1);
+
+const cancellation = (s: Settings): Contradiction[] => {
+  const bound = freshnessBound(s);
+  if (bound >= LEAST_BOUND) return [];
+  const least = s.cancelUs + LEAST_BOUND - bound;
+  return [
+    {
+      level: 'error',
+      field: 'cluster.workers.cancel_s',
+      problem: `${seconds(s.cancelUs)} s leaves too little beside lease_s of ${seconds(s.leaseUs)} s: where the state service can't be reached, tasks of cancelled jobs may run longer`,
+      remedy: `raise cancel_s to ${seconds(least + 100_000)} s or more, or lower lease_s`,
+    },
+  ];
+};
+
+const teams = (s: Settings): Contradiction[] =>
+  s.teams.flatMap((t) =>
+    (
+      [
+        ['cpus', t.cores, t.coresMax],
+        ['gpus', t.gpus, t.gpusMax],
+      ] as const
+    )
+      .filter(([, guaranteed, most]) => most > 0 && guaranteed > most)
+      .map(([what, guaranteed, most]) => ({
+        level: 'warning' as const,
+        field: `cluster.teams.${t.name}.${what}`,
+        problem: `the guarantee of ${guaranteed} is above the limit of ${most}: the limit holds`,
+        remedy: `lower ${what} or raise ${what}_max`,
+      })),
+  );
+
+const peers = (s: Settings): Contradiction[] =>
+  s.peers.some((p) => p.member === s.member)
+    ? [
+        {
+          level: 'warning',
+          field: 'peers',
+          problem: `names this node (${s.member}) among the others: it is sent messages of its own`,
+          remedy: 'leave it out',
+        },
+      ]
+    : [];
+
+/** In the order of their weight; none if the settings agree. */
+export const contradictions = (s: Settings): readonly Contradiction[] => [
+  ...cancellation(s),
+  ...peers(s),
+  ...teams(s),
+];
+
+export const describe = (c: Contradiction): string => `${c.field}: ${c.problem}; ${c.remedy}`;
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -2,6 +2,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { SECOND } from '@shaleyoke/core/model';
+import { freshnessBound, LEAST_BOUND } from '@shaleyoke/core/office/freshness';
+import { contradictions, describe } from '@shaleyoke/settings/contradictions';
 import { parseMembership, parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
 import { settingsFor } from '@shaleyoke/emulator/site';
 
@@ -58,3 +60,37 @@
       yaml,
     );
 });
+
+test('settings by which a cancellation can not hold are named, with field and remedy', () => {
+  const good = settingsFor('a', ['a', 'b'], '[[cluster.teams]]\nname = "t"\ncpus = 4.0\ncpus_max = 8.0\n');
+  assert.deepEqual(contradictions(good), []);
+  for (const [cancelS, leaseS] of [
+    [20, 20],
+    [10, 27],
+    [30, 27],
+  ] as const) {
+    const bad = { ...good, cancelUs: cancelS * SECOND, leaseUs: leaseS * SECOND };
+    const [c, ...more] = contradictions(bad);
+    assert.ok(c !== undefined && more.length === 0);
+    assert.equal(c.level, 'error');
+    assert.match(describe(c), /cancel_s.*lease_s.*raise cancel_s to/s);
+    // What the remedy says is enough, and little less is not.
+    const least = Number(/to (\d+\.\d)/.exec(c.remedy)![1]) * SECOND;
+    assert.deepEqual(contradictions({ ...bad, cancelUs: least }), []);
+    assert.equal(contradictions({ ...bad, cancelUs: least - SECOND / 2 }).length, 1);
+  }
+  assert.ok(freshnessBound(good) > LEAST_BOUND);
+});
+
+test('limits below guarantees and a node among its own peers are warned of', () => {
+  const teams = '[[cluster.teams]]\nname = "t"\ncpus = 9.0\ncpus_max = 8.0\n';
+  const s = settingsFor('a', ['a', 'b'], teams);
+  const found = contradictions({ ...s, peers: [...s.peers, { member: 'a', address: '10.0.0.9:81' }] });
+  assert.deepEqual(
+    found.map((c) => [c.level, c.field]),
+    [
+      ['warning', 'peers'],
+      ['warning', 'cluster.teams.t.cpus'],
+    ],
+  );
+});
--- a/packages/shaleyoke/src/main.ts
+++ b/packages/shaleyoke/src/main.ts
@@ -6,8 +6,9 @@
 import type { Feature } from '@shaleyoke/core/ports';
 import { JOBS, LEAD, ROSTER } from '@shaleyoke/core/base/keys';
 import { Clients, ClientsLive } from '@shaleyoke/runtime/clients';
-import { logLevel, LogLive } from '@shaleyoke/runtime/log';
+import { Log, logLevel, LogLive } from '@shaleyoke/runtime/log';
 import { runNode, type FeatureListener } from '@shaleyoke/runtime/node';
+import { contradictions, describe } from '@shaleyoke/settings/contradictions';
 import { parseMembership, parseSettings, parseTuning, SettingsError } from '@shaleyoke/settings/settings';
 
 interface FileOptions {
@@ -77,12 +78,18 @@
   const kube = o.kube === undefined ? null : await kubeOf(o.kube, settings);
   if (kube !== null) features.push(kube.feature);
   const listeners = kube === null ? [] : [kube.listener];
-  Effect.runPromise(Effect.scoped(runNode(settings, features, listeners)).pipe(Effect.provide(layers))).catch(
-    (e: unknown) => {
-      console.error(String(e));
-      process.exit(EXIT_FAILED);
-    },
+  // Named, and served all the same: a controller that would not start keeps no rule either.
+  const named = Log.pipe(
+    Effect.map((log) => {
+      for (const { level, field, problem, remedy } of contradictions(settings))
+        log.write(level === 'error' ? 'error' : 'info', 'settings.contradiction', { field, problem, remedy });
+    }),
   );
+  const node = named.pipe(Effect.zipRight(runNode(settings, features, listeners)));
+  Effect.runPromise(Effect.scoped(node).pipe(Effect.provide(layers))).catch((e: unknown) => {
+    console.error(String(e));
+    process.exit(EXIT_FAILED);
+  });
 };
 
 const page = (prefix: string, after: string | undefined): Effect.Effect<StateReply, never, Clients> =>
@@ -130,7 +137,12 @@
   .option('--kube <file>', 'take Kubernetes Jobs on a listener of their own (YAML)')
   .action(serve);
 withFiles('check-config', 'check the settings and print them as understood').action((o: FileOptions) => {
-  console.log(JSON.stringify(load(o), null, 2));
+  const settings = load(o);
+  const found = contradictions(settings);
+  for (const c of found) if (c.level === 'warning') console.error(`warning: ${describe(c)}`);
+  const errors = found.filter((c) => c.level === 'error').map(describe);
+  if (errors.length > 0) throw new SettingsError(errors.join('\n'));
+  console.log(JSON.stringify(settings, null, 2));
 });
 withFiles('leader', 'show who leads').action((o: FileOptions) => {
   show(o, LEAD);
