--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -436,6 +436,10 @@
     const entitled = this.term.entitled();
     this.silence.noteRight(entitled);
     if (this.sweeps % 2 === 0) this.tell();
+    if (this.leadership.blind && this.mayResign()) {
+      this.leadership.resign(HOLD_OFF, 'hears nothing of cancellations');
+      return;
+    }
     if (!this.term.ready) return;
     if (entitled && this.fitness.unfit && this.mayResign()) {
       this.leadership.resign(HOLD_OFF, 'too slow to lead');
--- a/packages/core/src/office/freshness.ts
+++ b/packages/core/src/office/freshness.ts
@@ -38,6 +38,11 @@
     return this.knownAt !== null && now < this.knownAt + this.bound;
   }
 
+  /** Nothing was learned for so long after `since` that another node may do better. */
+  lost(now: Micros, since: Micros): boolean {
+    return now >= (this.knownAt ?? since) + Math.floor(this.bound * 1.5);
+  }
+
   /** Half of the time has passed: time to ask by itself, since what was asked for may never be answered. */
   due(now: Micros): boolean {
     return this.knownAt !== null && now >= this.knownAt + Math.floor(this.bound / 2);
--- a/packages/core/src/office/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -87,6 +87,14 @@
     return this.office !== null && now < this.rightEnds && this.freshness?.holds(now) === true;
   }
 
+  /** The office is held, but for long nothing was learned of what others were told: watches and lists fail here. */
+  get blind(): boolean {
+    const { now } = this.ctx;
+    return (
+      this.office !== null && now < this.rightEnds && this.freshness?.lost(now, this.office.since) === true
+    );
+  }
+
   /**
    * Who leads, as far as this node may say so: a name without word for a whole lease is worth nothing. A node that
    * had lost the state service once named a deposed leader for as long, which sent workers back to it: none of them
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -64,6 +64,12 @@
   stateSlow: { share: number; most: Micros } | null = null;
   /** Answers to watches reach nobody until then, whatever else is answered. */
   watchesHangUntil: Micros = 0;
+  /** Chance that a command to a worker is held up for up to so long: it is executed then, and nobody hears the answer. */
+  ordersLate: { share: number; most: Micros } | null = null;
+  /** Commands that were held up and executed, or refused, after the caller had given up. */
+  lateOrders = 0;
+  /** The only node that watches hang and lists are late for; null: all. */
+  lateFor: string | null = null;
   /** Nodes that the state service refuses alone, and until when. */
   private readonly refused = new Map<string, Micros>();
   /** How much later than others the answers to lists come. */
@@ -221,6 +227,10 @@
     this.refused.set(name, this.now + length);
   }
 
+  private isLate(name: string): boolean {
+    return this.lateFor === null || this.lateFor === name;
+  }
+
   private refusedFor(name: string): Micros {
     return Math.max(0, (this.refused.get(name) ?? 0) - this.now);
   }
@@ -248,7 +258,7 @@
         this.carry(
           () => this.state.apply(e.op),
           (r) => {
-            this.plan(e.op.kind === 'list' ? this.listDelay : 0, () => {
+            this.plan(e.op.kind === 'list' && this.isLate(n.name) ? this.listDelay : 0, () => {
               back({ kind: 'state', call: e.call, reply: r });
             });
           },
@@ -347,7 +357,8 @@
         this.state.watch(watch, (r) => {
           const slow = this.stateSlow !== null && this.random.chance(this.stateSlow.share);
           const late = slow ? this.random.below(this.stateSlow!.most) : 0;
-          const hangs = Math.max(late, this.watchesHangUntil - this.now);
+          const hung = this.isLate(from) ? this.watchesHangUntil - this.now : 0;
+          const hangs = Math.max(late, hung);
           this.plan(Math.max(hangs, this.network.delay(to, from), this.refusedFor(from)), () => {
             answer(r as R);
           });
@@ -459,6 +470,17 @@
       return;
     }
     const run = (): OrdersReply => this.machines.orders(e.address, e.token, e.session, e.orders);
+    const late = this.ordersLate !== null && this.random.chance(this.ordersLate.share);
+    if (late) {
+      this.plan(2_500 * MILLI + this.random.below(this.ordersLate!.most), () => {
+        this.lateOrders++;
+        run();
+      });
+      this.plan(2500 * MILLI, () => {
+        reply({ kind: 'lost', report: null });
+      });
+      return;
+    }
     if (held > 0 || this.network.delay(e.address, n.name) > 0) {
       // Held back by the cut, and delivered when it ends.
       this.plan(held, () => {
