--- a/packages/emulator/src/users-model.ts
+++ b/packages/emulator/src/users-model.ts
@@ -25,6 +25,8 @@
   readonly told = new Map<string, Told>();
   /** The moment at which the user was told that the job is cancelled. */
   readonly cancelledAt = new Map<string, Micros>();
+  /** When a question about the job was last answered. */
+  readonly answeredAt = new Map<string, Micros>();
   /** Jobs whose users asked to cancel them. */
   readonly asked = new Set<string>();
 
@@ -72,6 +74,7 @@
 
   /** What any node had told when the question was asked must never be taken back. */
   private hear(id: string, a: UserAnswer | null, known: Told | undefined): void {
+    if (a?.kind === 'view') this.answeredAt.set(id, this.now);
     if (a?.kind === 'absent' && known !== undefined) this.host.broke(`forgotten ${id}`);
     if (a?.kind !== 'view') return;
     const before = known?.stage;
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -68,6 +68,10 @@
   ordersLate: { share: number; most: Micros } | null = null;
   /** Commands that were held up and executed, or refused, after the caller had given up. */
   lateOrders = 0;
+  /** Chance that a transaction gets no answer and is carried out 2 to 12 s later, after newer ones. */
+  lateWrites = 0;
+  /** Transactions that were carried out so late, and those among them whose conditions still held. */
+  readonly lateWritten = { all: 0, applied: 0 };
   /** The only node that watches hang and lists are late for; null: all. */
   lateFor: string | null = null;
   /** Nodes that the state service refuses alone, and until when. */
@@ -255,6 +259,7 @@
     };
     switch (e.kind) {
       case 'state':
+        if (this.lateWrites > 0 && this.writesLate(n, e.op, e.call, back)) return;
         this.carry(
           () => this.state.apply(e.op),
           (r) => {
@@ -318,6 +323,23 @@
     }
   }
 
+  private writesLate(n: SimNode, op: StateOp, call: number, back: (input: Input) => void): boolean {
+    if (op.kind !== 'txn' || op.writes.length === 0 || this.refusedFor(n.name) > 0) return false;
+    if (!this.random.chance(this.lateWrites)) return false;
+    this.plan((2_000 + this.random.below(10_000)) * MILLI, () => {
+      this.lateWritten.all++;
+      if (this.state.apply(op).kind === 'ok') this.lateWritten.applied++;
+    });
+    this.plan(STATE_PATIENCE, () => {
+      back({
+        kind: 'state',
+        call,
+        reply: { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
+      });
+    });
+    return true;
+  }
+
   /** A call there and back, either of which may be lost; a lost call may still be carried out much later. */
   private carry<R>(
     run: () => R,
