A call to an address that can't be one is answered: nobody waits for it for ever

Cause: Node's http throws for such an address (a port of 99999, none at all); the call died, its caller was never told, and the machine that had reported the address got no order any more: its `calling` stayed set. Found by reading the way of an order for what could leave a job without any answer. Now it counts as no answer. The new test fails before.

--- a/packages/runtime/src/http-client.ts
+++ b/packages/runtime/src/http-client.ts
@@ -84,4 +84,8 @@
       clearTimeout(timer);
       req.destroy();
     });
-  });
+  }).pipe(
+    // An address that can't be one throws at once. Nobody was called then; who waits must hear that all the same, else its
+    // machine would get no order any more, and whatever stands behind the call would wait for ever.
+    Effect.catchAllDefect(() => Effect.succeed<HttpReply>(null)),
+  );
--- /dev/null
+++ b/packages/runtime/test/http-client.test.ts
@@ -0,0 +1,31 @@
+/** Whoever calls hears how it went, whatever the address or the answer. */
+import assert from 'node:assert/strict';
+import * as http from 'node:http';
+import { test } from 'node:test';
+import { Effect } from 'effect';
+import { SECOND } from '@shaleyoke/core/model';
+import { callHttp, makeAgent } from '@shaleyoke/runtime/http-client';
+
+const agent = makeAgent(1);
+const call = { method: 'GET', path: '/inspect', body: null } as const;
+
+test('an address that can not be one is no answer', async () => {
+  for (const address of ['', 'm-1', '127.0.0.1:99999', '127.0.0.1:x', '::::', '127.0.0.1:-1'])
+    assert.equal(
+      await Effect.runPromise(callHttp(agent, address, call, SECOND)),
+      null,
+      JSON.stringify(address),
+    );
+});
+
+test('a connection that ends in the middle of an answer is no answer', async () => {
+  const server = http.createServer((_q, res) => {
+    res.writeHead(200, { 'Content-Length': '100' });
+    res.write('half');
+    setImmediate(() => res.destroy());
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as { port: number };
+  assert.equal(await Effect.runPromise(callHttp(agent, `127.0.0.1:${port}`, call, 5 * SECOND)), null);
+  server.close();
+});
