A late copy of a report tells nothing of how its machine is now

Cause: `lastReport` and the address were taken from any report, late copies included. A machine that hangs seemed well for as long as copies of what it had sent before came in, up to well over its lease, and its tasks waited on it. Now both are taken from reports newer than all that is known; the lease is counted from any answer, as before, since nobody can tell a copy from a report that was overtaken. The new test fails before: the machine is never missed while copies come.

--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -32,7 +32,7 @@
   /** A report that could not be answered with 200 still shows that its sender is there. */
   heard(r: Report): void {
     const m = this.term.estate.machines.get(r.machine);
-    if (m !== undefined) m.lastReport = this.term.ctx.now;
+    if (m?.isNewer(r) === true) m.lastReport = this.term.ctx.now;
   }
 
   answer(r: Report): WorkerAnswer {
@@ -40,11 +40,14 @@
     const m = this.park.reporting(r);
     // A report that was held back outlives its machine.
     if (m === null) return { kind: 'unavailable' };
-    m.address = r.address;
     const newer = m.isNewer(r);
+    // The answer renews the lease if this is no late copy, which nobody can tell; but a copy shows nothing of now.
     m.leaseFrom = ctx.now;
-    m.lastReport = ctx.now;
-    if (newer) this.take(m, r);
+    if (newer) {
+      m.address = r.address;
+      m.lastReport = ctx.now;
+      this.take(m, r);
+    }
     this.park.record(m);
     // Whatever is answered with 200 renews the lease of all that runs there: it has the orders to stop what is over,
     // also if something newer was heard meanwhile by another way, and while the records are still being read.
--- a/packages/core/test/meetings.test.ts
+++ b/packages/core/test/meetings.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MILLI, SECOND, type JobSpec } from '@shaleyoke/core/model';
+import { MILLI, SECOND, type JobSpec, type Report, type WorkerAnswer } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
@@ -247,6 +247,38 @@
     }
 });
 
+interface Inside {
+  readonly scheduler: { onReport(r: Report): WorkerAnswer };
+}
+
+test('late copies of reports do not make a machine seem well that hangs', () => {
+  for (let seed = 1; seed <= 4; seed++) {
+    const w = new World(new Random(seed * 77), 3, TEAM(16), 16, 4);
+    const missed = new Map<string, number>();
+    w.onLog = (_n, event, f) => {
+      if (event === 'machine.retire' && f['reason'] === 'silent') missed.set(String(f['machine']), w.now);
+    };
+    w.runFor(2 * SECOND);
+    for (let i = 0; i < 4; i++) w.submit(specOf(`run-${seed}${i}`, { tasks: 4, estimateUs: 300 * SECOND }));
+    w.runFor(30 * SECOND);
+    const x = [...w.workers.values()].find((y) => y.alive && y.tasks.length > 0)!;
+    // What it has sent so far comes again, one after the other, for longer than its lease.
+    const sent = Array.from({ length: 12 }, () => w.machines.reportOf(x));
+    const lead = (): Inside => w.nodes.find((n) => n.core?.leads() === true)!.core as unknown as Inside;
+    for (const r of sent) lead().scheduler.onReport(r);
+    x.cutUntil = w.now + 1_000 * SECOND;
+    const from = w.now;
+    for (const r of sent) {
+      w.runFor(4 * SECOND);
+      lead().scheduler.onReport(r);
+    }
+    const at = missed.get(x.name);
+    assert.ok(at !== undefined, `seed ${seed}: ${x.name} is never missed`);
+    assert.ok(at - from < 14 * SECOND, `seed ${seed}: missed after ${(at - from) / SECOND} s`);
+    assert.deepEqual([...new Set(w.broken)], []);
+  }
+});
+
 test('pairs of meetings: no rule breaks, all work ends, nothing is forgotten', () => {
   let won = 0;
   for (let seed = from; seed <= to * 4; seed++) {
