A late report of a machine that is gone brings nothing back under a new leader

Cause: a leader remembers what is gone only within its term. A late report of such a machine had the next one take it for one that is there, with its tasks, which then waited for a lease. Now: nothing is started on a machine before it is on record, and it is taken off only once it is gone for sure; so who reports tasks and is not on record tells of before its end. Such a report is answered with 503 and logged (`report.of_gone`); one that came before the records were read is let go then. Not where the roster could not be read whole.

--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -68,7 +68,8 @@
    * its tasks were once started anew elsewhere (ran_twice on a grown krakow day).
    */
   takeEarly(): void {
-    for (const [m, r] of this.early) if (this.term.estate.machines.get(m.name) === m) this.takeTasks(m, r);
+    for (const [m, r] of this.early)
+      if (this.term.estate.machines.get(m.name) === m && !this.park.letGoGhost(m, r)) this.takeTasks(m, r);
     this.early.clear();
   }
 
--- a/packages/core/src/machines/park.ts
+++ b/packages/core/src/machines/park.ts
@@ -41,11 +41,32 @@
     const m = this.machines.get(r.machine);
     if (m !== undefined) return m;
     if (this.buried.has(r.machine)) return null;
+    if (this.term.ready && this.isGhost(r)) {
+      this.term.ctx.info('report.of_gone', { machine: r.machine, session: r.session, tasks: r.tasks.length });
+      return null;
+    }
     // Never on record, so no leader ever put anything on it.
     this.term.ctx.info('machine.reported', { machine: r.machine, type: r.type, zone: r.zone });
     return this.add(r.machine, r);
   }
 
+  /**
+   * Nothing is started on a machine before it is on record, and it is taken off only once it is gone for sure: so who tells of
+   * tasks and is not on record tells of a time before its end. A late report of that kind once had a new leader take the
+   * machine for one that is there, with tasks that ran elsewhere by then, until a lease had passed.
+   */
+  private isGhost(r: Report): boolean {
+    return r.tasks.length > 0 && this.roster.whole;
+  }
+
+  /** Whether what came before the records were read is of a machine that is on none: then it is let go. */
+  letGoGhost(m: Machine, r: Report): boolean {
+    if (m.recorded !== 'no' || !this.isGhost(r)) return false;
+    this.term.ctx.info('report.of_gone', { machine: m.name, session: r.session, tasks: r.tasks.length });
+    this.machines.delete(m.name);
+    return true;
+  }
+
   record(m: Machine): void {
     // Before the roster is read, its pages would be overwritten.
     if (m.recorded !== 'no' || !this.term.ready) return;
--- a/packages/core/test/meetings.test.ts
+++ b/packages/core/test/meetings.test.ts
@@ -248,7 +248,13 @@
 });
 
 interface Inside {
-  readonly scheduler: { onReport(r: Report): WorkerAnswer };
+  readonly scheduler: {
+    onReport(r: Report): WorkerAnswer;
+    readonly term: {
+      readonly ready: boolean;
+      readonly estate: { readonly machines: ReadonlyMap<string, unknown> };
+    };
+  };
 }
 
 test('late copies of reports do not make a machine seem well that hangs', () => {
@@ -279,6 +285,46 @@
   }
 });
 
+test('a late report of a machine that an earlier leader saw end brings nothing back', () => {
+  let ghosts = 0;
+  for (let seed = 1; seed <= 4; seed++) {
+    const w = new World(new Random(seed * 91), 3, TEAM(16), 16, 4);
+    w.runFor(2 * SECOND);
+    for (let i = 0; i < 4; i++) w.submit(specOf(`run-${seed}${i}`, { tasks: 4, estimateUs: 300 * SECOND }));
+    w.runFor(30 * SECOND);
+    const x = [...w.workers.values()].find((y) => y.alive && y.tasks.some((t) => t.state === 'running'))!;
+    const old = w.machines.reportOf(x);
+    const tasks = x.tasks.map((t) => `${t.job}/${t.index}`);
+    w.killWorker(x);
+    w.runFor(40 * SECOND);
+    // Its tasks run elsewhere by now. The next leader has never heard of it, and reads its records for a while.
+    w.listDelay = 800 * MILLI;
+    w.crash(
+      w.nodes.findIndex((n) => n.core?.leads() === true),
+      SECOND,
+    );
+    const reading = (): Inside | undefined =>
+      w.nodes.map((n) => n.core as unknown as Inside | null).find((c) => (c?.scheduler ?? null) !== null) ??
+      undefined;
+    for (let i = 0; i < 40 && reading() === undefined; i++) w.runFor(250 * MILLI);
+    const { scheduler } = reading()!;
+    assert.equal(scheduler.term.ready, false);
+    scheduler.onReport(old);
+    assert.ok(scheduler.term.estate.machines.has(x.name), 'taken for one that may be there');
+    w.runFor(6 * SECOND);
+    assert.equal(scheduler.term.ready, true);
+    assert.ok(!scheduler.term.estate.machines.has(x.name), 'let go once the records were read');
+    assert.equal(scheduler.onReport(old).kind, 'unavailable', `seed ${seed}`);
+    ghosts += tasks.length;
+    w.runFor(30 * SECOND);
+    assert.deepEqual([...new Set(w.broken)], []);
+    // Nothing waits for it.
+    const ghost = [...w.workers.values()].filter((y) => y.alive && y.name === x.name);
+    assert.equal(ghost.length, 0);
+  }
+  assert.ok(ghosts > 4);
+});
+
 test('pairs of meetings: no rule breaks, all work ends, nothing is forgotten', () => {
   let won = 0;
   for (let seed = from; seed <= to * 4; seed++) {
