A worker that has seen a higher token gets 503, not a 200 that it has to drop

By the protocol a 200 that is dropped holds a worker where it is while its lease runs out. Within a term no worker has seen more than its leader gave, so that this is bad input or word of another office: nothing is learned from it, and it is logged (`report.token_ahead`).

--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -40,6 +40,11 @@
     const m = this.park.reporting(r);
     // A report that was held back outlives its machine.
     if (m === null) return { kind: 'unavailable' };
+    if (r.token > this.term.tokenOf(m)) {
+      // It would drop a 200 of ours, and stay here until its lease has run out.
+      ctx.info('report.token_ahead', { machine: m.name, token: r.token });
+      return { kind: 'unavailable' };
+    }
     const newer = m.isNewer(r);
     // The answer renews the lease if this is no late copy, which nobody can tell; but a copy shows nothing of now.
     m.leaseFrom = ctx.now;
--- a/packages/core/test/cancellations.test.ts
+++ b/packages/core/test/cancellations.test.ts
@@ -210,6 +210,9 @@
   // One that lists none of them, made before they began: the stops come all the same.
   const empty = answerOf(w, { ...old, tasks: [] });
   assert.ok(empty.kind === 'accepted' && empty.orders.some((o) => o.op === 'stop' && o.job === id));
+  // It has seen a token that is not of this term: it would drop a 200, and nothing is learned from it.
+  const ahead = { ...newer, seq: newer.seq + 1, token: 2 ** 50 };
+  assert.equal(answerOf(w, ahead).kind, 'unavailable');
   // More of what nobody knows than an answer holds.
   const strangers = Array.from({ length: 401 }, (_, i) => ({ ...tasks[0]!, job: `run-9${i}` }));
   assert.equal(answerOf(w, { ...newer, seq: newer.seq + 1, tasks: strangers }).kind, 'unavailable');
