--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -14,7 +14,7 @@
 import { Endings } from '../jobs/endings.js';
 import { Fleet } from '../machines/fleet.js';
 import { Imaging } from '../decision/imaging.js';
-import { JOBS, MACHINES, PLACES, PROGRESS, ROSTER, TIMINGS, TYPES } from '../base/keys.js';
+import { idOfActive, JOBS, MACHINES, PLACES, PROGRESS, ROSTER, TIMINGS, TYPES } from '../base/keys.js';
 import type { Leadership, Office } from '../office/leadership.js';
 import type { Item, MachineType, Micros, ProgressNote, Report, WorkerAnswer } from '../model.js';
 import { MILLI, SECOND } from '../model.js';
@@ -249,9 +249,7 @@
   }
 
   start(): void {
-    const { freshness } = this.leadership;
-    if (freshness === null) return;
-    this.takeover = new Takeover(this.term, freshness, {
+    this.takeover = new Takeover(this.term, this.term.office.freshness, {
       rebuild: (read, timings) => {
         this.rebuild(read, timings);
       },
@@ -318,7 +316,7 @@
       if (rec.retiring) this.park.retire(m, 'was retiring');
     }
     this.roster.adopt(read(MACHINES), (name) => machines.get(name));
-    for (const it of read(JOBS)) this.addJob(it.key.slice(JOBS.length), it.value, it.version, false);
+    for (const it of read(JOBS)) this.addJob(idOfActive(it.key), it.value, it.version, false);
     for (const job of jobs.values()) this.deps.add(job);
     this.progress.load(read(PLACES), read(PROGRESS), jobs.values(), this.roster.whole);
     this.term.ready = true;
--- a/packages/core/src/machines/park.ts
+++ b/packages/core/src/machines/park.ts
@@ -41,10 +41,7 @@
     const m = this.machines.get(r.machine);
     if (m !== undefined) return m;
     if (this.buried.has(r.machine)) return null;
-    if (this.term.ready && this.isGhost(r)) {
-      this.term.ctx.info('report.of_gone', { machine: r.machine, session: r.session, tasks: r.tasks.length });
-      return null;
-    }
+    if (this.term.ready && this.isGhost(r)) return null;
     // Never on record, so no leader ever put anything on it.
     this.term.ctx.info('machine.reported', { machine: r.machine, type: r.type, zone: r.zone });
     return this.add(r.machine, r);
@@ -56,13 +53,14 @@
    * machine for one that is there, with tasks that ran elsewhere by then, until a lease had passed.
    */
   private isGhost(r: Report): boolean {
-    return r.tasks.length > 0 && this.roster.whole;
+    if (r.tasks.length === 0 || !this.roster.whole) return false;
+    this.term.ctx.info('report.of_gone', { machine: r.machine, session: r.session, tasks: r.tasks.length });
+    return true;
   }
 
   /** Whether what came before the records were read is of a machine that is on none: then it is let go. */
   letGoGhost(m: Machine, r: Report): boolean {
     if (m.recorded !== 'no' || !this.isGhost(r)) return false;
-    this.term.ctx.info('report.of_gone', { machine: m.name, session: r.session, tasks: r.tasks.length });
     this.machines.delete(m.name);
     return true;
   }
--- a/packages/core/src/office/leadership.ts
+++ b/packages/core/src/office/leadership.ts
@@ -37,6 +37,8 @@
   readonly since: Micros;
   /** Nothing was ever rented, and which machines stood ready before is not on record yet: part of the term's record. */
   readonly first: boolean;
+  /** What its holder knows of cancellations, and since when. */
+  readonly freshness: Freshness;
 }
 
 /** The term's record. An older version leaves `first` out: then what stands ready can't be told any more. */
@@ -50,8 +52,6 @@
 
 export class Leadership {
   office: Office | null = null;
-  /** What this leader knows of cancellations, and since when; null: no office. */
-  freshness: Freshness | null = null;
   /** Who was last known to lead; null when that office is known to have ended. */
   private seen: Seen | null = null;
   /** The highest term that this node has heard of. */
@@ -84,15 +84,13 @@
    */
   hasRight(): boolean {
     const { now } = this.ctx;
-    return this.office !== null && now < this.rightEnds && this.freshness?.holds(now) === true;
+    return this.office !== null && now < this.rightEnds && this.office.freshness.holds(now);
   }
 
   /** The office is held, but for long nothing was learned of what others were told: watches and lists fail here. */
   get blind(): boolean {
     const { now } = this.ctx;
-    return (
-      this.office !== null && now < this.rightEnds && this.freshness?.lost(now, this.office.since) === true
-    );
+    return this.office !== null && now < this.rightEnds && this.office.freshness.lost(now, this.office.since);
   }
 
   /**
@@ -146,7 +144,6 @@
     if (this.office === null) return;
     this.ctx.info('leader.lost', { term: this.office.term, reason });
     this.office = null;
-    this.freshness = null;
     this.rightEnds = 0;
     this.suspended = false;
     this.seen = null;
@@ -260,8 +257,14 @@
         }
         this.acquiring = false;
         this.note(value.member, term);
-        this.office = { term, version: r.revision, lease, since: this.ctx.now, first };
-        this.freshness = new Freshness(this.ctx.settings);
+        this.office = {
+          term,
+          version: r.revision,
+          lease,
+          since: this.ctx.now,
+          first,
+          freshness: new Freshness(this.ctx.settings),
+        };
         this.extend(sent);
         this.ctx.emit({ kind: 'role', leader: true });
         this.ctx.info('leader.won', { term });
--- a/packages/core/src/office/takeover.ts
+++ b/packages/core/src/office/takeover.ts
@@ -1,5 +1,5 @@
 /** What a new leader reads of its predecessors, and how it hears of jobs from then on. */
-import { MACHINES, JOBS, PLACES, PROGRESS, ROSTER, TIMINGS } from '../base/keys.js';
+import { idOfActive, MACHINES, JOBS, PLACES, PROGRESS, ROSTER, TIMINGS } from '../base/keys.js';
 import type { Item, Micros, StateEvent } from '../model.js';
 import { MILLI, SECOND } from '../model.js';
 import type { Freshness } from './freshness.js';
@@ -55,7 +55,7 @@
         this.listAll(prefix, ({ items, revision, sent }) => {
           if (prefix === JOBS) {
             this.cursor = revision;
-            this.term.listed = new Set(items.map((it) => it.key.slice(JOBS.length)));
+            this.term.listed = new Set(items.map((it) => idOfActive(it.key)));
             this.freshness.proved(sent);
           }
           lists.set(prefix, items);
@@ -162,9 +162,9 @@
 
   private readJobs(then: () => void): void {
     this.listAll(JOBS, ({ items, revision, sent }) => {
-      const present = new Set(items.map((it) => it.key.slice(JOBS.length)));
+      const present = new Set(items.map((it) => idOfActive(it.key)));
       for (const it of items)
-        if (it.version > this.cursor) this.host.appeared(it.key.slice(JOBS.length), it.value, it.version);
+        if (it.version > this.cursor) this.host.appeared(idOfActive(it.key), it.value, it.version);
       this.host.present(present, revision);
       this.cursor = Math.max(this.cursor, revision);
       this.freshness.proved(sent);
@@ -173,7 +173,7 @@
   }
 
   private onJobEvent(e: StateEvent): void {
-    const id = e.key.slice(JOBS.length);
+    const id = idOfActive(e.key);
     if (e.kind === 'put') this.host.appeared(id, e.value, e.version);
     else this.host.vanished(id, e.version);
   }
--- a/packages/core/src/users/desk.ts
+++ b/packages/core/src/users/desk.ts
@@ -81,7 +81,7 @@
   }
 
   handle(request: number, body: UserRequest): void {
-    if (body.kind !== 'health' && this.cutOff && !this.final(body.id)) {
+    if (body.kind !== 'health' && this.cutOff && !this.hasEnded(body.id)) {
       this.answer(request, this.unavailable('state service not answering'));
       return;
     }
@@ -113,7 +113,7 @@
   }
 
   /** Whether the job's end is known here: that never changes. */
-  private final(id: string | null): boolean {
+  hasEnded(id: string | null): boolean {
     return id !== null && this.cache.get(id)?.kind === 'ended';
   }
 
@@ -133,11 +133,6 @@
     }
   }
 
-  /** Whether this node knows of the job's end. */
-  hasEnded(id: string): boolean {
-    return this.final(id);
-  }
-
   /** The leader learns of ends from its own writes and its watch. */
   noteEnded(id: string, stage: 'done' | 'cancelled', done: number, service = false): void {
     this.remember(id, { kind: 'ended', stage, done, service });
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -43,8 +43,10 @@
   rate: number;
 }
 
-/** A client of the state service gives a call up after that. */
-const STATE_PATIENCE: Micros = 1200 * MILLI;
+/** Whoever calls gives the call up after that. */
+const CALL_PATIENCE: Micros = 1200 * MILLI;
+/** Orders whose way to the worker is cut or late are waited for a little longer. */
+const ORDERS_PATIENCE: Micros = 2500 * MILLI;
 const REFUSED = { kind: 'failed', executed: false, cause: 'refused', reason: '503' } as const;
 
 export class World {
@@ -330,7 +332,7 @@
       this.lateWritten.all++;
       if (this.state.apply(op).kind === 'ok') this.lateWritten.applied++;
     });
-    this.plan(STATE_PATIENCE, () => {
+    this.plan(CALL_PATIENCE, () => {
       back({
         kind: 'state',
         call,
@@ -357,7 +359,7 @@
         this.plan(there + 2 * MILLI, () => {
           run();
         });
-      this.plan(watch === null ? 1200 * MILLI : watch.waitMs * MILLI + 2 * SECOND, () => {
+      this.plan(watch === null ? CALL_PATIENCE : watch.waitMs * MILLI + 2 * SECOND, () => {
         reply(lost);
       });
       return;
@@ -400,7 +402,7 @@
         if (open) reply(r);
         open = false;
       });
-      this.plan(STATE_PATIENCE, () => {
+      this.plan(CALL_PATIENCE, () => {
         if (open) reply(lost);
         open = false;
       });
@@ -410,18 +412,18 @@
       this.plan(this.random.below(30) * SECOND, () => {
         run();
       });
-      this.plan(1200 * MILLI, () => {
+      this.plan(CALL_PATIENCE, () => {
         reply(lost);
       });
     } else if (fate < (this.loss * 2) / 3) {
       this.plan(3 * MILLI, () => {
         run();
       });
-      this.plan(1200 * MILLI, () => {
+      this.plan(CALL_PATIENCE, () => {
         reply(lost);
       });
     } else if (fate < this.loss)
-      this.plan(1200 * MILLI, () => {
+      this.plan(CALL_PATIENCE, () => {
         reply(lost);
       });
     else
@@ -486,7 +488,7 @@
     const w = this.workers.get(e.address);
     const held = Math.max(w === undefined ? 0 : w.cutUntil - this.now, this.network.delay(n.name, e.address));
     if (w !== undefined && w.deafUntil > this.now) {
-      this.plan(2500 * MILLI, () => {
+      this.plan(ORDERS_PATIENCE, () => {
         reply({ kind: 'lost', report: null });
       });
       return;
@@ -494,11 +496,11 @@
     const run = (): OrdersReply => this.machines.orders(e.address, e.token, e.session, e.orders);
     const late = this.ordersLate !== null && this.random.chance(this.ordersLate.share);
     if (late) {
-      this.plan(2_500 * MILLI + this.random.below(this.ordersLate!.most), () => {
+      this.plan(ORDERS_PATIENCE + this.random.below(this.ordersLate!.most), () => {
         this.lateOrders++;
         run();
       });
-      this.plan(2500 * MILLI, () => {
+      this.plan(ORDERS_PATIENCE, () => {
         reply({ kind: 'lost', report: null });
       });
       return;
@@ -508,7 +510,7 @@
       this.plan(held, () => {
         run();
       });
-      this.plan(2500 * MILLI, () => {
+      this.plan(ORDERS_PATIENCE, () => {
         reply({ kind: 'lost', report: null });
       });
       return;
