Emulator: answers lost, reports kept, close looks, mute machines, saves, notices, write limits

Change: transactions whose answers alone are lost, copies of reports that reach all controllers as the next leader begins, users who look closely and repeat themselves, machines that reach no controller, workers that save when stopped, machines taken with notice, boot times of choice, a limit of writes a second. A known job that is answered as malformed or impossible counts as forgotten. All are off unless a test asks, and then take no random numbers from others.

--- a/packages/emulator/src/cloud-model.ts
+++ b/packages/emulator/src/cloud-model.ts
@@ -7,13 +7,15 @@
   /** How many there are in a zone. */
   inZone(zone: string): number;
   /** A new one begins to boot; its name. */
-  boot(zone: string, spot: boolean): string;
+  boot(zone: string, spot: boolean, bootUs?: Micros): string;
   end(name: string): void;
   list(): ListedMachine[];
 }
 
 export class CloudModel {
   downUntil: Micros = 0;
+  /** How long new machines take to boot; null: as their type says, more or less. */
+  bootUs: (() => Micros) | null = null;
   /** What is charged for, by machine: from the request for it until it is gone. */
   readonly bills = new Map<string, { from: Micros; to: Micros | null; spot: boolean }>();
   private readonly bookings = new Map<string, string[]>();
@@ -22,7 +24,7 @@
     private readonly now: () => Micros,
     private readonly machines: Machines,
     /** Machines that there are in each zone. */
-    private readonly perZone: number,
+    public perZone: number,
   ) {}
 
   apply(op: CloudOp): CloudReply {
@@ -35,7 +37,9 @@
         if (old !== undefined) return { kind: 'rented', machines: old };
         const count = Math.min(op.count, this.perZone - this.machines.inZone(op.zone));
         if (count <= 0) return { kind: 'noCapacity' };
-        const names = Array.from({ length: count }, () => this.machines.boot(op.zone, op.spot));
+        const names = Array.from({ length: count }, () =>
+          this.machines.boot(op.zone, op.spot, this.bootUs?.()),
+        );
         for (const name of names) this.bills.set(name, { from: this.now(), to: null, spot: op.spot });
         this.bookings.set(op.request, names);
         return { kind: 'rented', machines: names };
--- a/packages/emulator/src/state-model.ts
+++ b/packages/emulator/src/state-model.ts
@@ -1,6 +1,6 @@
 /** The state service as a model: told the time, it answers; nobody waits in it. */
 import type { Item, Micros, StateEvent, StateOp, StateReply } from '@shaleyoke/core/model';
-import { MILLI } from '@shaleyoke/core/model';
+import { MILLI, SECOND } from '@shaleyoke/core/model';
 
 /** What the service keeps of past changes for watches. */
 const HISTORY = 10_000;
@@ -16,9 +16,16 @@
 export class StateModel {
   /** What a transaction may hold. */
   limits = { valueBytes: 16 * 1024, ops: 16 };
+  /** Puts and deletes that it takes in a second, with bursts of one second's worth; those of failing transactions count. */
+  writesPerSecond = Infinity;
+  /** Transactions that were turned away since there had been too many writes. */
+  turnedAway = 0;
+  private spent: { at: Micros; writes: number } = { at: 0, writes: 0 };
   /** Requests with more than that, refused. */
   refusals = 0;
   downUntil: Micros = 0;
+  /** Puts and deletes of transactions whose conditions failed: they count against the limit all the same. */
+  wasted = 0;
   /** Puts and deletes carried out. */
   changes = 0;
   revision = 1;
@@ -154,12 +161,19 @@
       this.refusals++;
       return { kind: 'refused', reason: '400' };
     }
+    if (!this.mayWrite(op.writes.length)) {
+      this.turnedAway++;
+      return { kind: 'failed', executed: false, cause: 'busy', reason: '429' };
+    }
     for (const w of op.writes)
       if (w.kind === 'put' && w.lease !== undefined && !this.leases.has(w.lease)) return { kind: 'noLease' };
     const failed = op.conditions
       .filter((c) => (this.kv.get(c.key)?.version ?? 0) !== c.version)
       .map((c) => c.key);
-    if (failed.length > 0) return { kind: 'conflict', failed, revision: this.revision };
+    if (failed.length > 0) {
+      this.wasted += op.writes.length;
+      return { kind: 'conflict', failed, revision: this.revision };
+    }
     if (op.writes.length === 0) return { kind: 'ok', revision: this.revision };
     this.revision++;
     this.changes += op.writes.length;
@@ -170,6 +184,16 @@
     return { kind: 'ok', revision: this.revision };
   }
 
+  private mayWrite(writes: number): boolean {
+    if (writes === 0 || this.writesPerSecond === Infinity) return true;
+    const now = this.now();
+    const since = ((now - this.spent.at) / SECOND) * this.writesPerSecond;
+    const before = Math.max(0, this.spent.writes - since);
+    if (before + writes > Math.max(this.writesPerSecond, writes)) return false;
+    this.spent = { at: now, writes: before + writes };
+    return true;
+  }
+
   private set(key: string, value: unknown, lease: number | null): void {
     this.kv.set(key, { key, value, version: this.revision, lease });
     this.note({ kind: 'put', key, value, version: this.revision });
--- a/packages/emulator/src/users-model.ts
+++ b/packages/emulator/src/users-model.ts
@@ -1,6 +1,6 @@
 /** Users as a model: they submit, poll and cancel, try again, and remember what they were told. */
 import type { JobSpec, Micros, UserAnswer, UserRequest } from '@shaleyoke/core/model';
-import { SECOND } from '@shaleyoke/core/model';
+import { MILLI, SECOND } from '@shaleyoke/core/model';
 import type { Random } from './random.js';
 import type { Work } from './work.js';
 import { CANCEL } from './workers-model.js';
@@ -30,6 +30,11 @@
   /** Jobs whose users asked to cancel them. */
   readonly asked = new Set<string>();
 
+  /** Chance that users look closely at a job that was just accepted, done or cancelled: see `lookClosely`. */
+  closeLooks = 0;
+  /** Questions of close looks, by the word that led to them. */
+  readonly looks = new Map<string, number>();
+
   constructor(
     readonly host: UsersHost,
     private readonly work: Work,
@@ -40,14 +45,40 @@
     return this.host.now;
   }
 
-  private ask(id: string, body: UserRequest, then: (a: UserAnswer | null) => void): void {
+  private ask(
+    id: string,
+    body: UserRequest,
+    then: (a: UserAnswer | null) => void,
+    node = this.random.below(this.host.nodes),
+  ): void {
     const known = this.told.get(id);
-    this.host.ask(this.random.below(this.host.nodes), body, (a) => {
+    this.host.ask(node, body, (a) => {
       this.hear(id, a, known);
       then(a);
     });
   }
 
+  /** All nodes are asked within milliseconds, again and again, and the submission is repeated; now and then they cancel. */
+  private lookClosely(id: string, word: string): void {
+    const spec = this.work.specs.get(id);
+    if (spec === undefined) return;
+    for (let node = 0; node < this.host.nodes; node++)
+      for (const round of [0, 1, 2]) {
+        this.looks.set(word, (this.looks.get(word) ?? 0) + 1);
+        const body: UserRequest =
+          this.random.chance(0.3) || (round === 0 && word === 'accepted')
+            ? { kind: 'submit', id, spec, problem: null }
+            : { kind: 'poll', id };
+        this.host.later((round * 15 + this.random.below(15)) * MILLI, () => {
+          this.ask(id, body, () => undefined, node);
+        });
+      }
+    if (word === 'accepted' && this.random.chance(0.15))
+      this.host.later(this.random.below(40) * MILLI, () => {
+        this.cancel(id);
+      });
+  }
+
   submit(spec: JobSpec, tries = 0): void {
     this.work.specs.set(spec.id, spec);
     this.ask(spec.id, { kind: 'submit', id: spec.id, spec, problem: null }, (a) => {
@@ -75,7 +106,8 @@
   /** What any node had told when the question was asked must never be taken back. */
   private hear(id: string, a: UserAnswer | null, known: Told | undefined): void {
     if (a?.kind === 'view') this.answeredAt.set(id, this.now);
-    if (a?.kind === 'absent' && known !== undefined) this.host.broke(`forgotten ${id}`);
+    if (known !== undefined && (a?.kind === 'absent' || a?.kind === 'malformed' || a?.kind === 'impossible'))
+      this.host.broke(`forgotten ${id}: ${a.kind}`);
     if (a?.kind !== 'view') return;
     const before = known?.stage;
     const { stage } = a.view;
@@ -93,5 +125,9 @@
     if (stage === 'cancelled' && !this.cancelledAt.has(id)) this.cancelledAt.set(id, this.now);
     const last = this.told.get(id)?.stage;
     if (last !== 'done' && last !== 'cancelled') this.told.set(id, { stage, at: this.now });
+    const final = stage === 'done' || stage === 'cancelled';
+    const news = final ? last !== stage : last === undefined;
+    if (news && this.closeLooks > 0 && this.random.chance(this.closeLooks))
+      this.lookClosely(id, final ? stage : 'accepted');
   }
 }
--- a/packages/emulator/src/workers-model.ts
+++ b/packages/emulator/src/workers-model.ts
@@ -51,6 +51,10 @@
   cutUntil: Micros;
   /** Until then its reports arrive, and nothing that is sent to it. */
   deafUntil: Micros;
+  /** Until then it reaches no controller, while direct commands reach it. */
+  muteUntil: Micros;
+  /** When the cloud takes it away, with notice until then; null: it does not. */
+  takenAt: Micros | null;
 }
 
 export interface WorkersHost {
@@ -70,6 +74,10 @@
 export class WorkersModel implements Machines {
   readonly all = new Map<string, Worker>();
   starts = 0;
+  /** Tasks that an order stopped while they ran and their job was neither cancelled nor done: work lost by decision. */
+  readonly stoppedRunning: { readonly at: Micros; readonly task: string; readonly machine: string }[] = [];
+  /** Orders to stop that found a task saving, and saves that ended well. */
+  readonly saves = { begun: 0, cut: 0, ended: 0 };
   /** How much slower workers' clocks are than true ones: their leases last longer by that. */
   slowClocks = 0;
   /** When a task of a job was last on a machine after its user had been told that it is cancelled. */
@@ -111,6 +119,8 @@
       tasks: [],
       cutUntil: 0,
       deafUntil: 0,
+      muteUntil: 0,
+      takenAt: null,
     });
     return name;
   }
@@ -153,7 +163,7 @@
       session: w.session,
       seq: ++w.seq,
       token: w.token,
-      noticeUs: null,
+      noticeUs: w.takenAt === null ? null : Math.max(0, w.takenAt - this.now),
       tasks: w.tasks.map(({ job, index, attempt, state, cause, saved }) => ({
         job,
         index,
@@ -209,11 +219,7 @@
       return;
     }
     if (o.op === 'stop') {
-      if (t !== undefined && t.attempt === o.attempt && t.state !== 'exited') {
-        this.noteRun(t);
-        t.state = 'exited';
-        t.cause = 'stopped';
-      }
+      if (t !== undefined && t.attempt === o.attempt && t.state !== 'exited') this.stop(w, t, o.graceUs);
       return;
     }
     if (t !== undefined && t.attempt === o.attempt) return;
@@ -235,6 +241,30 @@
     });
   }
 
+  /** A task that can save does so if there is time; the second order without any ends the saving. */
+  private stop(w: Worker, t: SimTask, graceUs: Micros): void {
+    const spec = this.work.specs.get(t.job);
+    if (t.state === 'running' && spec !== undefined) {
+      if (this.host.cancelledAt(t.job) === undefined && !this.work.isDone(t.job))
+        this.stoppedRunning.push({ at: this.now, task: `${t.job}/${t.index}`, machine: w.name });
+      if (spec.checkpointUs > 0 && graceUs >= spec.saveUs) {
+        this.noteRun(t);
+        t.since = null;
+        t.state = 'saving';
+        t.until = this.now + spec.saveUs;
+        this.saves.begun++;
+        return;
+      }
+    }
+    if (t.state === 'saving') {
+      if (graceUs > 0) return;
+      this.saves.cut++;
+    }
+    this.noteRun(t);
+    t.state = 'exited';
+    t.cause = 'stopped';
+  }
+
   /** The rules, checked at the moment of a start. */
   private checkStart(w: Worker, o: Order & { op: 'start' }): void {
     this.starts++;
@@ -278,6 +308,10 @@
   run(): void {
     for (const w of this.all.values()) {
       if (!w.alive || this.now < w.upAt) continue;
+      if (w.takenAt !== null && this.now >= w.takenAt) {
+        this.kill(w);
+        continue;
+      }
       if (this.now > w.answered + LEASE * (1 + this.slowClocks)) {
         for (const t of w.tasks) this.noteRun(t);
         w.tasks = [];
@@ -299,7 +333,12 @@
           t.state = 'exited';
           t.cause = 'done';
           this.work.complete(t.job, t.index);
-        }
+        } else if (t.state === 'saving') {
+          t.state = 'exited';
+          t.cause = 'stopped';
+          t.saved = true;
+          this.saves.ended++;
+        } else continue;
         changed = true;
       }
       if (changed) w.nextReport = Math.min(w.nextReport, this.now + 50 * MILLI);
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -12,6 +12,7 @@
   Membership,
   Micros,
   OrdersReply,
+  Report,
   StateOp,
   UserAnswer,
   UserRequest,
@@ -72,6 +73,15 @@
   lateOrders = 0;
   /** Chance that a transaction gets no answer and is carried out 2 to 12 s later, after newer ones. */
   lateWrites = 0;
+  /** Chance that a transaction is carried out at once and only its answer is lost. */
+  answersLost = 0;
+  /** Transactions whose answers alone were lost, by the keys that they wrote. */
+  readonly unanswered = new Map<string, number>();
+  /** Chance that a copy of a report is kept, and reaches every controller as the next leader begins. */
+  keepReports = 0;
+  private kept: Report[] = [];
+  /** Copies of kept reports that reached a controller. */
+  keptArrived = 0;
   /** Transactions that were carried out so late, and those among them whose conditions still held. */
   readonly lateWritten = { all: 0, applied: 0 };
   /** The only node that watches hang and lists are late for; null: all. */
@@ -262,6 +272,7 @@
     switch (e.kind) {
       case 'state':
         if (this.lateWrites > 0 && this.writesLate(n, e.op, e.call, back)) return;
+        if (this.answersLost > 0 && this.losesAnswer(n, e.op, e.call, back)) return;
         this.carry(
           () => this.state.apply(e.op),
           (r) => {
@@ -307,6 +318,7 @@
         n.wake = Math.ceil((e.at - 1) / n.rate) + n.startAt;
         return;
       case 'log':
+        if (e.event === 'leader.won') this.deliverKept();
         this.onLog(n.name, e.event, e.fields);
         if (e.level === 'error') this.broken.push(`error logged: ${e.event} ${JSON.stringify(e.fields)}`);
         return;
@@ -325,6 +337,38 @@
     }
   }
 
+  /** Every controller gets them, some at once, some while the new leader reads, some when it has acted. */
+  private deliverKept(): void {
+    const kept = this.kept;
+    this.kept = [];
+    for (const report of kept)
+      for (const n of this.nodes)
+        this.plan(this.random.below(this.random.chance(0.6) ? 60 : 8_000) * MILLI, () => {
+          this.keptArrived++;
+          this.feed(n, { kind: 'report', request: this.nextRequest++, report });
+        });
+  }
+
+  private losesAnswer(n: SimNode, op: StateOp, call: number, back: (input: Input) => void): boolean {
+    if (op.kind !== 'txn' || op.writes.length === 0 || this.refusedFor(n.name) > 0) return false;
+    if (this.network.delay(n.name, 'state') > 0 || !this.random.chance(this.answersLost)) return false;
+    this.plan(3 * MILLI, () => {
+      if (this.state.apply(op).kind !== 'ok') return;
+      for (const w of op.writes) {
+        const kind = w.kind === 'delete' ? 'delete' : w.key.replace(/\/.*$/, '/');
+        this.unanswered.set(kind, (this.unanswered.get(kind) ?? 0) + 1);
+      }
+    });
+    this.plan(CALL_PATIENCE, () => {
+      back({
+        kind: 'state',
+        call,
+        reply: { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
+      });
+    });
+    return true;
+  }
+
   private writesLate(n: SimNode, op: StateOp, call: number, back: (input: Input) => void): boolean {
     if (op.kind !== 'txn' || op.writes.length === 0 || this.refusedFor(n.name) > 0) return false;
     if (!this.random.chance(this.lateWrites)) return false;
@@ -445,7 +489,12 @@
       this.machines.nextNode(w);
       return;
     }
+    if (this.now < w.muteUntil) {
+      this.machines.nextNode(w);
+      return;
+    }
     const report = this.machines.reportOf(w);
+    if (this.keepReports > 0 && this.random.chance(this.keepReports)) this.kept.push(report);
     const there = this.network.delay(w.name, n.name);
     if (there > 0 || this.network.delay(n.name, w.name) > 0) {
       this.machines.unanswered(w);
@@ -635,6 +684,11 @@
     this.machines.kill(w);
   }
 
+  /** The node that is entitled to act now; -1: none. */
+  leader(): number {
+    return this.nodes.findIndex((n) => n.core?.leads() === true);
+  }
+
   anyWorker(): Worker | undefined {
     const up = [...this.workers.values()].filter((w) => w.alive && this.now >= w.upAt);
     return up[this.random.below(Math.max(1, up.length))];
