An older report does not decide which attempt is the true one

Cause: a late copy that reached a new leader first was taken like a true report: the task's true place was ordered to stop, and where that order was lost the task began a third time (ran_twice); a copy of one team's tasks hid another team's from its limit (quota). Change: what only a report with an older token tells of is unproven: a place to wait for. A report with a token of this term decides; limits count unproven room as anybody's. Ruled out: not adopting from older reports at all (turns and displays would know less for longer).

--- a/packages/core/src/attempts/attempts.ts
+++ b/packages/core/src/attempts/attempts.ts
@@ -52,6 +52,7 @@
         orderedAt: ctx.now,
         runningAt: null,
         timed: true,
+        proven: true,
         stopping: null,
       };
       this.attach(a);
@@ -80,8 +81,8 @@
       });
   }
 
-  /** A task of an earlier leader's attempt, as a machine reports it. */
-  adopt(m: Machine, job: ActiveJob, t: ReportedTask): Attempt {
+  /** A task of an earlier leader's attempt, as a machine reports it; `proven` with a token of this term. */
+  adopt(m: Machine, job: ActiveJob, t: ReportedTask, proven: boolean): Attempt {
     const a: Attempt = {
       job,
       index: t.index,
@@ -93,6 +94,7 @@
       orderedAt: this.term.ctx.now,
       runningAt: null,
       timed: false,
+      proven,
       stopping: null,
     };
     this.term.ctx.debug('attempt.adopted', {
@@ -111,18 +113,47 @@
     a.machine.changes++;
   }
 
-  /** An attempt is surely not on its machine any more. `exit` tells how it ended, where that is known. */
-  end(a: Attempt, exit: ReportedTask | null): void {
+  /** Out of the picture; false if it was not in it. */
+  private detach(a: Attempt): boolean {
     const { job, machine: m } = a;
-    const { ctx } = this.term;
     const key = attemptKey(job.id, a.index);
-    if (m.attempts.get(key) !== a) return;
+    if (m.attempts.get(key) !== a) return false;
     m.attempts.delete(key);
-    if (exit !== null) m.endedUnder.add(key);
     m.changes++;
     if (job.live.get(a.index) === a) job.live.delete(a.index);
-    if (m.attempts.size === 0) m.idleSince = ctx.now;
+    if (m.attempts.size === 0) m.idleSince = this.term.ctx.now;
     job.reopen(a.index);
+    return true;
+  }
+
+  /**
+   * What only an older report told of is not there, or is elsewhere: it need never have been there in this term, so nothing
+   * is learned from it, and no gang is broken by it.
+   */
+  disown(a: Attempt): void {
+    if (!this.detach(a)) return;
+    const { job, machine } = a;
+    this.term.ctx.debug('attempt.disowned', {
+      job: job.id,
+      task: a.index,
+      machine: machine.name,
+      attempt: a.no,
+    });
+    this.host.ended(a, null);
+    this.host.released(job);
+    this.term.planSoon();
+  }
+
+  /** An attempt is surely not on its machine any more. `exit` tells how it ended, where that is known. */
+  end(a: Attempt, exit: ReportedTask | null): void {
+    if (!a.proven && exit === null) {
+      this.disown(a);
+      return;
+    }
+    if (!this.detach(a)) return;
+    const { job, machine: m } = a;
+    const { ctx } = this.term;
+    if (exit !== null) m.endedUnder.add(attemptKey(job.id, a.index));
     const cause = exit?.cause ?? null;
     ctx.debug('attempt.ended', { job: job.id, task: a.index, machine: m.name, cause: cause ?? 'gone' });
     this.host.ended(a, exit);
--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -126,10 +126,15 @@
 
   private matchTasks(m: Machine, r: Report): void {
     const listed = new Set<Attempt>();
+    const proof = this.isProof(r);
     m.strangers = 0;
     for (const t of r.tasks) {
       const job = this.term.estate.jobs.get(t.job);
       let a = m.attempts.get(attemptKey(t.job, t.index));
+      if (a !== undefined && a.no !== t.attempt && proof && !a.proven) {
+        this.attempts.disown(a);
+        a = undefined;
+      }
       if (a !== undefined && a.no !== t.attempt) {
         if (t.state !== 'exited') m.strangers++;
         continue;
@@ -138,12 +143,13 @@
         this.onExit(m, job, a, t);
         continue;
       }
-      if (a === undefined && job !== undefined) a = this.adopt(m, job, t);
+      if (a === undefined && job !== undefined) a = this.adopt(m, job, t, proof);
       if (a === undefined) {
         m.strangers++;
         continue;
       }
       listed.add(a);
+      this.prove(a, proof);
       this.onTaskState(m, a, t);
     }
     for (const a of [...m.attempts.values()]) {
@@ -155,14 +161,41 @@
     }
   }
 
-  private adopt(m: Machine, job: ActiveJob, t: ReportedTask): Attempt | undefined {
-    if (t.index >= job.spec.tasks || job.done.has(t.index) || job.live.has(t.index)) return undefined;
-    if (job.phase !== 'active') return undefined;
+  /**
+   * Whether the report was made after its worker had heard of this term. An older one may be a late copy: it adds places to wait
+   * for, but does not decide which of two attempts is the true one. It once did: the true one was stopped, and begun a third
+   * time before it had heard of that (docs/incidents/kept-reports.md).
+   */
+  private isProof(r: Report): boolean {
+    return r.token >= this.term.firstToken;
+  }
+
+  /** Whether the task may be of use where it is reported. */
+  private isWanted(t: ReportedTask): boolean {
+    const job = this.term.estate.jobs.get(t.job);
+    return job?.phase === 'active' && t.index < job.spec.tasks && !job.done.has(t.index);
+  }
+
+  private adopt(m: Machine, job: ActiveJob, t: ReportedTask, proof: boolean): Attempt | undefined {
+    if (!this.isWanted(t)) return undefined;
+    // Seen here by now, so what older reports told of it is over. A gang has one attempt at a time.
+    const rivals =
+      job.spec.shape === 'gang'
+        ? [...job.live.values()].filter((a) => a.no !== t.attempt || a.index === t.index)
+        : [job.live.get(t.index)].filter((a) => a !== undefined);
+    if (proof) for (const a of rivals) if (!a.proven) this.attempts.disown(a);
+    if (job.live.has(t.index)) return undefined;
     if (job.spec.shape === 'gang') {
       const no = gangAttempt(job);
       if (no !== null && no !== t.attempt) return undefined;
     }
-    return this.attempts.adopt(m, job, t);
+    return this.attempts.adopt(m, job, t, proof);
+  }
+
+  private prove(a: Attempt, proof: boolean): void {
+    if (a.proven || !proof) return;
+    a.proven = true;
+    if (a.state === 'running') this.host.running(a);
   }
 
   private onTaskState(m: Machine, a: Attempt, t: ReportedTask): void {
@@ -173,7 +206,7 @@
     m.changes++;
     if (t.state === 'running' && a.runningAt === null) {
       a.runningAt = ctx.now;
-      this.host.running(a);
+      if (a.proven) this.host.running(a);
     }
     if (t.state !== 'fetching') this.holdImage(m, a.job.spec);
     this.term.planSoon();
@@ -229,7 +262,8 @@
       const id = { job: t.job, index: t.index, attempt: t.attempt };
       const a = m.attempts.get(attemptKey(t.job, t.index));
       if (a === undefined || a.no !== t.attempt) {
-        orders.push({ op: 'stop', ...id, graceUs: 0 });
+        // Whether it is the true attempt is not known before a report of this term tells.
+        if (this.isProof(r) || !this.isWanted(t)) orders.push({ op: 'stop', ...id, graceUs: 0 });
         continue;
       }
       listed.add(a);
--- a/packages/core/src/picture/cluster.ts
+++ b/packages/core/src/picture/cluster.ts
@@ -29,6 +29,11 @@
   runningAt: Micros | null;
   /** False for an adopted attempt: when it began is not known. */
   readonly timed: boolean;
+  /**
+   * This leader's own, or seen in a report with a token of this term. Else only an older report told of it, which may be a
+   * late copy: then it may be anywhere, and nothing rests on its being here.
+   */
+  proven: boolean;
   stopping: { readonly since: Micros; readonly graceUs: Micros } | null;
 }
 
@@ -229,6 +234,18 @@
     return r.session > this.session || (r.session === this.session && r.seq > this.seq);
   }
 
+  /** Room left beside what is surely there: as much as others may have put there meanwhile. */
+  openTo(total: Readonly<Amounts>): Amounts {
+    const open = this.freeOf(total);
+    for (const a of this.attempts.values()) {
+      if (a.proven) continue;
+      open.cores += a.job.spec.cores;
+      open.gpus += a.job.spec.gpus;
+      open.memoryGb += a.job.spec.memoryGb;
+    }
+    return open;
+  }
+
   /** Room left when everything counts that is or may be there. */
   freeOf(total: Readonly<Amounts>): Amounts {
     if (this.freed?.changes !== this.changes || this.freed.total !== total)
--- a/packages/core/src/picture/estate.ts
+++ b/packages/core/src/picture/estate.ts
@@ -31,8 +31,12 @@
   usage(): Usage {
     const u = new Usage();
     for (const m of this.machines.values()) {
-      for (const a of m.attempts.values()) u.add(a.job.spec, 1);
-      if (m.unresolved || m.strangers > 0) u.doubt(this.ctx.types.get(m.type) ?? null, m);
+      let hearsay = false;
+      for (const a of m.attempts.values()) {
+        if (a.proven) u.add(a.job.spec, 1);
+        else hearsay = true;
+      }
+      if (m.unresolved || m.strangers > 0 || hearsay) u.doubt(this.ctx.types.get(m.type) ?? null, m);
     }
     return u;
   }
--- a/packages/core/src/picture/teams.ts
+++ b/packages/core/src/picture/teams.ts
@@ -9,11 +9,12 @@
   private readonly doubted = { cores: 0, gpus: 0 };
 
   /**
-   * What may run on a machine that is not accounted for is no more than what fits beside all that is known there, whichever
-   * team's it is. A team with a limit once started nothing while a single machine had not reported to a new leader.
+   * What may run on a machine that is not accounted for is no more than what fits beside all that is proven there, whichever
+   * team's it is. A team with a limit once started nothing while a single machine had not reported to a new leader. What
+   * only an older report tells of counts as anybody's: a late copy of one team's tasks once hid another's (`quota`).
    */
   doubt(type: MachineType | null, m: Machine): void {
-    const free = type === null ? { cores: Infinity, gpus: Infinity } : m.freeOf(type);
+    const free = type === null ? { cores: Infinity, gpus: Infinity } : m.openTo(type);
     this.doubted.cores += Math.max(0, free.cores);
     this.doubted.gpus += Math.max(0, free.gpus);
   }
--- a/packages/core/test/ordering.test.ts
+++ b/packages/core/test/ordering.test.ts
@@ -44,6 +44,7 @@
     orderedAt: 0,
     runningAt: 0,
     timed: true,
+    proven: true,
     stopping: null,
   };
   job.live.set(index, a);
--- a/packages/core/test/pages.test.ts
+++ b/packages/core/test/pages.test.ts
@@ -201,6 +201,7 @@
         orderedAt: 0,
         runningAt: 0,
         timed: true,
+        proven: true,
         stopping: null,
       });
     }
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -278,6 +278,7 @@
         // On the last machine they began a moment ago.
         runningAt: i === 4 ? 99 * SECOND : 0,
         timed: true,
+        proven: true,
         stopping: null,
       };
       m.attempts.set(attemptKey('run-8', a.index), a);
