A repeated submission of a known job is compared, not written again

Need: transactions with failing conditions count against write_rps; users who repeat submissions ate the writes of others' work. Change: a job that this node knows as accepted is answered like a poll. Result: 200 repetitions at three nodes cost 200 failing writes before, at most one a node now (test).

--- a/packages/core/src/users/desk.ts
+++ b/packages/core/src/users/desk.ts
@@ -380,6 +380,12 @@
       this.show(request, id, known);
       return;
     }
+    if (known !== undefined && id !== null && body.beside === undefined) {
+      // Accepted for ever: a comparison tells how it stands now. The accepting transaction would tell as well, but writes
+      // that fail count against the limit, and users who repeat themselves ate the writes of others' work.
+      this.poll(request, id);
+      return;
+    }
     // A known job is answered with its state whatever the body says; only then is the body judged.
     const refuse = (a: UserAnswer): void => {
       if (id === null) this.answer(request, a);
