--- a/packages/emulator/src/meetings.ts
+++ b/packages/emulator/src/meetings.ts
@@ -341,6 +341,8 @@
 }
 
 const FORGOTTEN: Micros = 75 * SECOND;
+/** All work has ended by then, counted from the end of the calm in which everybody asks. */
+const LAST: Micros = 600 * SECOND;
 
 /** Plays these meetings one after the other, each begun while the last may still go on, and then a long calm. */
 export const play = (seed: number, meetings: readonly Meeting[], rounds: number): Outcome => {
@@ -388,13 +390,17 @@
     w.runFor(5 * SECOND);
   }
   const forgotten = ids.filter((id) => w.users.told.has(id) && (w.users.answeredAt.get(id) ?? 0) < over);
-  w.runFor(240 * SECOND);
-  for (const id of ids) w.poll(id);
-  w.runFor(3 * SECOND);
+  // There may be as much work as room for ten minutes.
+  const isOpen = (id: string): boolean => !['done', 'cancelled', undefined].includes(w.stageOf(id));
+  for (let t = 0; t < LAST && ids.some(isOpen); t += 20 * SECOND) {
+    w.runFor(20 * SECOND);
+    for (const id of ids) w.poll(id);
+    w.runFor(3 * SECOND);
+  }
   return {
     w,
     broken: [...new Set(w.broken)],
-    open: ids.filter((id) => !['done', 'cancelled', undefined].includes(w.stageOf(id))),
+    open: ids.filter(isOpen),
     accepted: ids.filter((id) => w.users.told.has(id)).length / ids.length,
     forgotten,
     counts,
