Nothing is started while the state service does not answer the leader

Change: Term.mayStart: the right, and a link to the state service that answers. 200s go on. Left: a start in the milliseconds between the confirmation and the leader's watch can't be known.

--- a/packages/core/src/attempts/attempts.ts
+++ b/packages/core/src/attempts/attempts.ts
@@ -290,7 +290,7 @@
       !job.held &&
       m.usable() &&
       m.session === a.session &&
-      this.term.entitled();
+      this.term.mayStart();
     if (!ok) {
       this.end(a, null);
       return;
@@ -308,11 +308,12 @@
     if (batch.some((o) => o.op === 'start' && m.endedUnder.has(attemptKey(o.job, o.index)))) this.raise(m);
     const token = this.term.tokenOf(m);
     const entitled = this.term.entitled() && !this.term.stopped;
+    const mayStart = entitled && this.term.mayStart();
     const orders = batch.filter((o) => {
       if (o.op !== 'start') return entitled;
       const a = m.attempts.get(attemptKey(o.job, o.index));
       if (a === undefined || a.no !== o.attempt || a.state !== 'recording') return false;
-      if (!entitled || a.session !== m.session || a.job.phase !== 'active') {
+      if (!mayStart || a.session !== m.session || a.job.phase !== 'active') {
         this.end(a, null);
         return false;
       }
--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -86,7 +86,7 @@
     this.hurrying = true;
     this.term.after(HURRY, () => {
       this.hurrying = false;
-      if (this.term.ready && this.term.entitled() && this.term.ctx.types.size > 0) this.planOnce(true);
+      if (this.term.ready && this.term.mayStart() && this.term.ctx.types.size > 0) this.planOnce(true);
     });
   }
 
@@ -189,7 +189,7 @@
     // So do they later: each plan brings starts and their reports with it, and a node that is behind loses its workers.
     const behind = this.parts.behind() && ctx.now < this.lastWhole + BEHIND_AT_MOST;
     const few = this.rebuilding() || behind;
-    if (!this.term.entitled() || (few && !this.urgentWaits())) {
+    if (!this.term.mayStart() || (few && !this.urgentWaits())) {
       this.again = true;
       return;
     }
--- a/packages/core/src/office/term.ts
+++ b/packages/core/src/office/term.ts
@@ -47,6 +47,15 @@
     return this.ctx.now <= this.office.since + ACCOUNTING_REPORTS * this.ctx.settings.reportUs;
   }
 
+  /**
+   * Whether tasks may be started now. Not while the state service does not answer this node: it may be answering others, who
+   * are told of cancellations, after which nothing of the job may be started. In an outage of all that costs little, for the
+   * right ends soon.
+   */
+  mayStart(): boolean {
+    return this.entitled() && this.ctx.link.downSince === null;
+  }
+
   /** Every token of this term exceeds all of earlier ones. */
   get firstToken(): number {
     return this.no * TOKENS_PER_TERM;
--- a/packages/core/test/second-meetings.test.ts
+++ b/packages/core/test/second-meetings.test.ts
@@ -5,7 +5,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { play, SECOND_LIST, type Outcome } from '@shaleyoke/emulator/meetings';
+import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { World } from '@shaleyoke/emulator/world';
 
 const NAMES = Object.keys(SECOND_LIST);
 
@@ -83,6 +86,34 @@
       assert.ok((sum.get(what) ?? 0) >= least, `${what}: ${sum.get(what) ?? 0} of ${least}`);
   });
 
+test('a leader that the state service does not answer starts nothing: others may be told of a cancellation', () => {
+  let called = 0;
+  let before = 0;
+  for (let seed = 1; seed <= 6; seed++) {
+    const w = new World(new Random(seed * 113), 3, '[[cluster.teams]]\nname = "t"\ncpus_max = 16.0\n', 16, 4);
+    w.stand(4);
+    w.runFor(3 * SECOND);
+    // Short tasks: something is started all the time, on machines that are on record for the job.
+    for (let i = 0; i < 4; i++) w.submit(specOf(`run-${seed}${i}`, { tasks: 400, estimateUs: 900 * MILLI }));
+    w.runFor(20 * SECOND);
+    const { starts } = w;
+    w.runFor(5 * SECOND);
+    before += w.starts - starts;
+    w.refuse(w.nodes[w.leader()]!.name, 20 * SECOND);
+    // It learns that with its next renewal.
+    w.runFor(2 * SECOND);
+    for (let i = 0; i < 4; i++) {
+      w.cancel(`run-${seed}${i}`);
+      w.runFor(700 * MILLI);
+    }
+    called += w.users.cancelledAt.size;
+    w.runFor(60 * SECOND);
+    assert.deepEqual(w.machines.startedAfter, [], `seed ${seed}`);
+    assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
+  }
+  assert.ok(called > 12 && before > 50, `cancelled: ${called}; started in 5 s: ${before}`);
+});
+
 test('pairs and triples: no rule breaks, all work ends, nothing is forgotten', () => {
   let won = 0;
   for (let seed = from; seed <= to * 3; seed++) {
