--- a/packages/core/test/close-looks.test.ts
+++ b/packages/core/test/close-looks.test.ts
@@ -76,3 +76,42 @@
   );
   assert.deepEqual([...new Set(w.broken)], []);
 });
+
+test('a known job is never refused, whatever limits and machine types have become, or the body says', () => {
+  let refused = 0;
+  for (let seed = 1; seed <= 4; seed++) {
+    const w = new World(new Random(seed * 17), 3, '[[cluster.teams]]\nname = "t"\ncpus_max = 8.0\n', 8, 2);
+    w.runFor(3 * SECOND);
+    const ids = Array.from({ length: 4 }, (_, i) => `run-${seed}${i}`);
+    const specs = ids.map((id, i) =>
+      specOf(id, { shape: 'gang', tasks: 2, cores: 3, estimateUs: [2, 2, 400, 400][i]! * SECOND }),
+    );
+    for (const spec of specs) w.submit(spec);
+    w.runFor(25 * SECOND);
+    w.cancel(ids[3]!);
+    w.runFor(2 * SECOND);
+    // All processes come back with a limit under which none of these jobs could be accepted.
+    w.teams = '[[cluster.teams]]\nname = "t"\ncpus_max = 2.0\n';
+    w.nodes.forEach((_, i) => {
+      w.crash(i, 300 * MILLI);
+    });
+    w.runFor(12 * SECOND);
+    const asked = w.now;
+    for (const spec of specs)
+      for (const body of [
+        spec,
+        { ...spec, team: 'nobody' },
+        { ...spec, cores: 1_000 },
+        { ...spec, types: ['none'] },
+      ])
+        for (let node = 0; node < 3; node++) w.users.submit(body);
+    w.runFor(4 * SECOND);
+    for (const id of ids) assert.ok(w.users.answeredAt.get(id)! > asked, id);
+    // The same from somebody whose job is not known.
+    w.users.submit(specOf(`run-${seed}9`, { shape: 'gang', tasks: 2, cores: 3 }), 1_000);
+    w.runFor(2 * SECOND);
+    if (!w.users.told.has(`run-${seed}9`)) refused++;
+    assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
+  }
+  assert.equal(refused, 4);
+});
--- a/packages/emulator/src/meetings.ts
+++ b/packages/emulator/src/meetings.ts
@@ -6,6 +6,7 @@
 import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { Random } from './random.js';
 import { specOf } from './specs.js';
+import { LeftWaiting } from './waiting.js';
 import { World } from './world.js';
 import type { Worker } from './workers-model.js';
 
@@ -335,19 +336,30 @@
   readonly accepted: number;
   /** Jobs about which nothing was answered for so long once all troubles were over. */
   readonly forgotten: string[];
+  /** Jobs that waited for so long beside free room once all troubles were over. */
+  readonly leftWaiting: string[];
   /** What took place. */
   readonly counts: ReadonlyMap<string, number>;
   readonly won: number;
 }
 
 const FORGOTTEN: Micros = 75 * SECOND;
+const WAITED: Micros = 90 * SECOND;
+/** What the team may use at a time. */
+const CORES = 16;
 /** All work has ended by then, counted from the end of the calm in which everybody asks. */
 const LAST: Micros = 600 * SECOND;
 
 /** Plays these meetings one after the other, each begun while the last may still go on, and then a long calm. */
 export const play = (seed: number, meetings: readonly Meeting[], rounds: number): Outcome => {
   const r = new Random(seed * 49_999 + 23);
-  const w = new World(r, seed % 4 === 0 ? 5 : 3, '[[cluster.teams]]\nname = "t"\ncpus_max = 16.0\n', 16, 5);
+  const w = new World(
+    r,
+    seed % 4 === 0 ? 5 : 3,
+    `[[cluster.teams]]\nname = "t"\ncpus_max = ${CORES}.0\n`,
+    CORES,
+    5,
+  );
   if (seed % 2 === 0) w.membership = { beatUs: SECOND, suspectBeats: 3 };
   const counts = new Map<string, number>();
   const count = (what: string, by = 1): void => {
@@ -385,15 +397,24 @@
   // All troubles end here, or within two minutes.
   w.runFor(130 * SECOND);
   const over = w.now;
+  const waiting = new LeftWaiting(w, CORES);
   for (let t = 0; t < FORGOTTEN; t += 5 * SECOND) {
     for (const id of ids) w.poll(id);
     w.runFor(5 * SECOND);
+    waiting.look(ids);
   }
+  // With questions and without, until all has ended.
+  const watch = (length: Micros): void => {
+    for (let t = 0; t < length; t += 5 * SECOND) {
+      w.runFor(5 * SECOND);
+      waiting.look(ids);
+    }
+  };
   const forgotten = ids.filter((id) => w.users.told.has(id) && (w.users.answeredAt.get(id) ?? 0) < over);
   // There may be as much work as room for ten minutes.
   const isOpen = (id: string): boolean => !['done', 'cancelled', undefined].includes(w.stageOf(id));
   for (let t = 0; t < LAST && ids.some(isOpen); t += 20 * SECOND) {
-    w.runFor(20 * SECOND);
+    watch(20 * SECOND);
     for (const id of ids) w.poll(id);
     w.runFor(3 * SECOND);
   }
@@ -403,6 +424,7 @@
     open: ids.filter(isOpen),
     accepted: ids.filter((id) => w.users.told.has(id)).length / ids.length,
     forgotten,
+    leftWaiting: [...waiting.longest].filter(([, length]) => length >= WAITED).map(([id]) => id),
     counts,
     won,
   };
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -111,7 +111,7 @@
   constructor(
     readonly random: Random,
     count = 3,
-    readonly teams = '[[cluster.teams]]\nname = "t"\ncpus_max = 10.0\n',
+    public teams = '[[cluster.teams]]\nname = "t"\ncpus_max = 10.0\n',
     readonly limitCores = 10,
     /** Machines that the cloud has in each zone. */
     readonly perZone = 4,
