A flood of small jobs beside repeats and odd requests: ends and cancellations are told in time

Need: one-task jobs four a second, a quarter cancelled, within the smallest site's writes. No change was needed.

--- a/packages/core/test/second-meetings.test.ts
+++ b/packages/core/test/second-meetings.test.ts
@@ -115,6 +115,65 @@
   assert.ok(called > 12 && before > 50, `cancelled: ${called}; started in 5 s: ${before}`);
 });
 
+test('a flood of small jobs beside repeats and odd requests: ends and cancellations are told in time', () => {
+  // Of the smallest site: 25 writes a second for all nodes. A job takes three of them, besides the leader's pages.
+  const all = { done: 0, late: 0, cancelled: 0, slow: 0 };
+  for (let seed = 1; seed <= 2; seed++) {
+    const r = new Random(seed * 521);
+    const w = new World(r, 3, '[[cluster.teams]]\nname = "t"\ncpus_max = 40.0\n', 40, 6);
+    w.stand(10);
+    w.runFor(3 * SECOND);
+    w.state.writesPerSecond = 25;
+    const ids: string[] = [];
+    w.work.onDone = (id) => {
+      w.later(3 * SECOND, () => {
+        if (w.users.asked.has(id)) return;
+        all.done++;
+        w.poll(id);
+        w.later(SECOND, () => {
+          if (w.stageOf(id) !== 'done') all.late++;
+        });
+      });
+    };
+    for (let t = 0; t < 480; t++) {
+      const spec = specOf(`run-${seed}${String(t).padStart(4, '0')}`, {
+        tasks: 1,
+        estimateUs: (1 + r.below(5)) * SECOND,
+      });
+      ids.push(spec.id);
+      w.submit(spec);
+      if (r.chance(0.25))
+        w.later(SECOND + r.below(4_000) * MILLI, () => {
+          w.cancel(spec.id);
+          all.cancelled++;
+          w.later(3 * SECOND, () => {
+            if (!['cancelled', 'done'].includes(w.stageOf(spec.id) ?? '')) all.slow++;
+          });
+        });
+      // What is repeated, and what is odd: jobs that are done are cancelled, and some name no team that there is.
+      const other = ids[r.below(ids.length)]!;
+      const known = w.work.specs.get(other)!;
+      if (r.chance(0.5)) w.submit(known);
+      if (w.stageOf(other) === 'done') w.cancel(other);
+      if (r.chance(0.3)) w.users.submit({ ...spec, id: `run-9${seed}${t}`, team: 'nobody' }, 1_000);
+      w.runFor(250 * MILLI);
+    }
+    w.state.writesPerSecond = Infinity;
+    w.runFor(60 * SECOND);
+    for (const id of ids) w.poll(id);
+    w.runFor(3 * SECOND);
+    assert.deepEqual([...new Set(w.broken)], [], `seed ${seed}`);
+    assert.deepEqual(
+      ids.filter((id) => !['done', 'cancelled'].includes(w.stageOf(id) ?? '')),
+      [],
+      `seed ${seed}: work that did not end`,
+    );
+  }
+  assert.ok(all.done > 500 && all.cancelled > 150);
+  assert.ok(all.late <= all.done * 0.02, `told late: ${all.late} of ${all.done}`);
+  assert.ok(all.slow <= all.cancelled * 0.02, `cancelled late: ${all.slow} of ${all.cancelled}`);
+});
+
 test('pairs and triples: no rule breaks, all work ends, nothing is forgotten', () => {
   let won = 0;
   for (let seed = from; seed <= to * 3; seed++) {
