Features are told of proven attempts only: a run that a late copy tells of costs nobody

Need: an unproven attempt that ran already when it was proven while saving was never told as running, and a feature that had just become ready took unproven ones for running. Change: told once proven, whatever its state is then.

--- a/packages/budgets/src/feature.ts
+++ b/packages/budgets/src/feature.ts
@@ -137,7 +137,7 @@
     }
     this.early = [];
     for (const job of estate.jobs.values())
-      for (const a of job.live.values()) if (a.runningAt !== null) this.running(a);
+      for (const a of job.live.values()) if (a.proven && a.runningAt !== null) this.running(a);
     for (const id of books.jobs.keys()) if (!estate.jobs.has(id)) this.endedBefore.push(id);
     // A month may have been closed while some of its rows were not in the journal yet.
     for (const [owner, month] of books.closed) books.closeMonth(owner, month);
--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -195,7 +195,7 @@
   private prove(a: Attempt, proof: boolean): void {
     if (a.proven || !proof) return;
     a.proven = true;
-    if (a.state === 'running') this.host.running(a);
+    if (a.runningAt !== null) this.host.running(a);
   }
 
   private onTaskState(m: Machine, a: Attempt, t: ReportedTask): void {
