--- a/packages/protocol/src/body.ts
+++ b/packages/protocol/src/body.ts
@@ -49,7 +49,8 @@
   const v = f[name];
   if (typeof v !== 'number' || !Number.isFinite(v) || v < 0)
     throw new Malformed(`${name}: not an amount of 0 or more`);
-  return v;
+  // The negative zero would not be read back from a record as it was.
+  return v === 0 ? 0 : v;
 };
 
 export const optionalAmount = (f: Fields, name: string): number | null =>
@@ -68,6 +69,16 @@
   return v;
 };
 
+/** Some thirty years: a duration beyond that is a mistake, and one beyond what microseconds can hold breaks its record. */
+const LONGEST_S = 1e9;
+
+/** A duration in seconds on the wire, in whole microseconds inside. Fails with `Malformed` if it is none, or too long. */
+export const duration = (f: Fields, name: string): number => {
+  const v = amount(f, name);
+  if (v > LONGEST_S) throw new Malformed(`${name}: more than ${LONGEST_S} s`);
+  return micros(v);
+};
+
 /** Seconds on the wire, whole microseconds inside. */
 export const micros = (seconds: number): number => Math.round(seconds * 1e6);
 export const seconds = (us: number): number => us / 1e6;
--- a/packages/protocol/src/users.ts
+++ b/packages/protocol/src/users.ts
@@ -4,13 +4,12 @@
   amount,
   asFields,
   decodeBody,
+  duration,
   encodeBody,
   flag,
   list,
   Malformed,
-  micros,
   oneOf,
-  optionalAmount,
   optionalText,
   text,
   type Fields,
@@ -67,7 +66,6 @@
           if (typeof m !== 'string') throw new Malformed('models: not a list of texts');
           return m;
         });
-  const due = optionalAmount(f, 'due_s');
   return {
     id,
     class: nonEmpty(f, 'bundle'),
@@ -85,10 +83,10 @@
     sameZone: flag(f, 'same_place'),
     spread: flag(f, 'scatter'),
     spot: flag(f, 'loaners'),
-    estimateUs: micros(amount(f, 'expect_s')),
-    checkpointUs: micros(amount(f, 'snapshot_s')),
-    saveUs: micros(amount(f, 'flush_s')),
-    deadlineUs: due === null ? null : micros(due),
+    estimateUs: duration(f, 'expect_s'),
+    checkpointUs: duration(f, 'snapshot_s'),
+    saveUs: duration(f, 'flush_s'),
+    deadlineUs: f['due_s'] === null || f['due_s'] === undefined ? null : duration(f, 'due_s'),
     needs: decodeNeeds(f, id),
   };
 };
--- a/packages/protocol/test/formats.test.ts
+++ b/packages/protocol/test/formats.test.ts
@@ -9,7 +9,7 @@
 import { decodeStateReply } from '@shaleyoke/protocol/state';
 import { decodeSubmission, route } from '@shaleyoke/protocol/users';
 import { decodeOrdersReply, decodeReport } from '@shaleyoke/protocol/workers';
-import { Bits } from '@shaleyoke/core/base/records';
+import { activeRecord, Bits, readActive } from '@shaleyoke/core/base/records';
 
 const seed = { seed: 20261, numRuns: 300 };
 
@@ -69,6 +69,60 @@
   }
 });
 
+test('whatever a field is replaced by, a submission is malformed, or what is accepted is read back from its record', () => {
+  const odd = fc.oneof(
+    fc.constantFrom<unknown>(
+      null,
+      '',
+      ' ',
+      [],
+      {},
+      true,
+      false,
+      -1,
+      -0,
+      0,
+      0.5,
+      1,
+      1e-300,
+      1e9,
+      1e15,
+      1e300,
+      1.7e308,
+      2 ** 53,
+      2 ** 63,
+    ),
+    fc.constantFrom<unknown>(
+      NaN,
+      Infinity,
+      'x'.repeat(201),
+      ['g8', null],
+      [''],
+      'run-1',
+      '\u0000',
+      'A',
+      100_000,
+      100_001,
+    ),
+    fc.double(),
+    fc.string(),
+  );
+  let accepted = 0;
+  fc.assert(
+    fc.property(fc.constantFrom(...Object.keys(submission), 'hall', 'awaits'), odd, (name, value) => {
+      const r = decodeSubmission(encodeBody({ ...submission, [name]: value }));
+      assert.equal(r.kind, 'submit');
+      if (r.kind !== 'submit' || r.spec === null) return;
+      accepted++;
+      // The state service keeps what JSON can say.
+      const kept = JSON.parse(JSON.stringify(decodeBody(encodeBody(activeRecord(r.spec, 5))))) as unknown;
+      assert.deepEqual(readActive(kept)?.spec, r.spec, `${name}: ${String(value)}`);
+    }),
+    { ...seed, numRuns: 3_000 },
+  );
+  assert.ok(accepted > 300, `accepted: ${accepted}`);
+});
+
 test('no bytes, however odd, break a decoder', () => {
   fc.assert(
     fc.property(fc.oneof(fc.uint8Array({ maxLength: 200 }), fc.anything().map(safely)), (bytes) => {
