--- a/packages/core/test/second-meetings.test.ts
+++ b/packages/core/test/second-meetings.test.ts
@@ -4,13 +4,15 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { play, SECOND_LIST, type Outcome } from '@shaleyoke/emulator/meetings';
+import { FIRST_LIST, play, SECOND_LIST, type Outcome } from '@shaleyoke/emulator/meetings';
 import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
 
 const NAMES = Object.keys(SECOND_LIST);
+const ALL = { ...FIRST_LIST, ...SECOND_LIST };
+const every = Object.keys(ALL);
 
 const check = (o: Outcome, what: string): void => {
   assert.deepEqual(o.broken.slice(0, 5), [], what);
@@ -198,14 +200,14 @@
   assert.ok(all.slow <= all.cancelled * 0.02, `cancelled late: ${all.slow} of ${all.cancelled}`);
 });
 
-test('pairs and triples: no rule breaks, all work ends, nothing is forgotten', () => {
+test('pairs and triples of both lists: no rule breaks, all work ends, nothing is forgotten', () => {
   let won = 0;
   for (let seed = from; seed <= to * 3; seed++) {
     const r = new Random(seed * 811 + 7);
-    const names = Array.from({ length: 2 + (seed % 2) }, () => NAMES[r.below(NAMES.length)]!);
+    const names = Array.from({ length: 2 + (seed % 2) }, () => every[r.below(every.length)]!);
     const o = play(
       2_000 + seed,
-      names.map((n) => SECOND_LIST[n]!),
+      names.map((n) => ALL[n]!),
       2,
     );
     check(o, `seed ${seed}: ${names.join('; ')}`);
--- a/packages/emulator/src/meetings.ts
+++ b/packages/emulator/src/meetings.ts
@@ -74,6 +74,79 @@
   };
 };
 
+/** The first list of meetings. */
+export const FIRST_LIST: Readonly<Record<string, Meeting>> = {
+  'commands held up': ({ w, r }) => {
+    w.ordersLate = { share: 0.5, most: (1 + r.below(12)) * SECOND };
+    w.later(12 * SECOND, () => {
+      w.ordersLate = null;
+    });
+  },
+  'late transactions': ({ w, r }) => {
+    w.lateWrites = 0.3 + r.below(4) / 10;
+    w.later(15 * SECOND, () => {
+      w.lateWrites = 0;
+    });
+  },
+  'a leader cut from state and peers': ({ w, r, count }) => {
+    const i = w.leader();
+    if (i < 0) return;
+    const { name } = w.nodes[i]!;
+    // Within its lease, after it, and long after.
+    const length = [3, 8, 30][r.below(3)]! * SECOND;
+    w.network.cut(name, 'state', length);
+    for (const n of w.nodes) if (n.name !== name) w.network.cut(name, n.name, length);
+    count('cuts');
+  },
+  'state slow, then refusing the leader, then down': ({ w, r }) => {
+    w.stateSlow = { share: 0.5, most: 3 * SECOND };
+    w.later(6 * SECOND, () => {
+      const i = w.leader();
+      if (i >= 0) w.refuse(w.nodes[i]!.name, (5 + r.below(20)) * SECOND);
+    });
+    w.later((8 + r.below(10)) * SECOND, () => {
+      w.stateOutage((5 + r.below(45)) * SECOND);
+    });
+    w.later(12 * SECOND, () => {
+      w.stateSlow = null;
+    });
+  },
+  'the leader ends': ({ w, r, count }) => {
+    const i = w.leader();
+    if (i < 0) return;
+    w.crash(i, [50 * MILLI, 700 * MILLI, 5 * SECOND][r.below(3)]!);
+    count('ends');
+  },
+  'late reports and repeats': ({ w }) => {
+    w.repeats = 0.4;
+    w.later(15 * SECOND, () => {
+      w.repeats = 0;
+    });
+  },
+  'handed back and forth': ({ w, r }) => {
+    // All end, one is back at once, the others within a second or later; again while the lease lasts.
+    const first = r.below(w.nodes.length);
+    const all = (): void => {
+      w.nodes.forEach((_, i) => {
+        w.crash(i, i === first ? r.below(300) * MILLI : (300 + r.below(6_000)) * MILLI);
+      });
+    };
+    all();
+    if (r.chance(0.5)) w.later(r.below(3_000) * MILLI, all);
+  },
+  'the leader ends while machines can not be reached': ({ w, r, count }) => {
+    for (const x of w.workers.values())
+      if (r.chance(0.5)) {
+        const until = w.now + (5 + r.below(35)) * SECOND;
+        if (r.chance(0.5)) x.cutUntil = until;
+        else x.deafUntil = until;
+        if (x.tasks.some((t) => t.state === 'running')) count('unreached with tasks');
+      }
+    const i = w.leader();
+    if (i >= 0) w.crash(i, (1 + r.below(8)) * SECOND);
+  },
+};
+
 /** The operators' second list. */
 export const SECOND_LIST: Readonly<Record<string, Meeting>> = {
   'close looks': (s) => {
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -358,6 +358,16 @@
         });
   }
 
+  private neverAnswered(call: number, back: (input: Input) => void): void {
+    this.plan(CALL_PATIENCE, () => {
+      back({
+        kind: 'state',
+        call,
+        reply: { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
+      });
+    });
+  }
+
   private losesAnswer(n: SimNode, op: StateOp, call: number, back: (input: Input) => void): boolean {
     if (op.kind !== 'txn' || op.writes.length === 0 || this.refusedFor(n.name) > 0) return false;
     if (this.network.delay(n.name, 'state') > 0 || !this.random.chance(this.answersLost)) return false;
@@ -368,13 +378,7 @@
         this.unanswered.set(kind, (this.unanswered.get(kind) ?? 0) + 1);
       }
     });
-    this.plan(CALL_PATIENCE, () => {
-      back({
-        kind: 'state',
-        call,
-        reply: { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
-      });
-    });
+    this.neverAnswered(call, back);
     return true;
   }
 
@@ -385,13 +389,7 @@
       this.lateWritten.all++;
       if (this.state.apply(op).kind === 'ok') this.lateWritten.applied++;
     });
-    this.plan(CALL_PATIENCE, () => {
-      back({
-        kind: 'state',
-        call,
-        reply: { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
-      });
-    });
+    this.neverAnswered(call, back);
     return true;
   }
 
