--- a/packages/core/src/users/desk.ts
+++ b/packages/core/src/users/desk.ts
@@ -300,6 +300,7 @@
         // In an interruption nobody is compared any more, so that few are doubted for it, and only until they are next.
         if (failed === null) this.doubted.set(id, batch.size >> 1);
         else this.doubted.delete(id);
+        if (this.doubted.size > MAX_CACHED) this.drop(this.doubted);
       }
       if (failed === null) {
         for (const { waiters } of batch.values()) this.fail(waiters);
