--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -27,6 +27,7 @@
 import type { Random } from './random.js';
 import { settingsFor, TYPE } from './site.js';
 import { StateModel } from './state-model.js';
+import type { StepMeter } from './step-meter.js';
 import { Timeline } from './timeline.js';
 import { UsersModel } from './users-model.js';
 import { Work } from './work.js';
@@ -42,6 +43,9 @@
   frozenUntil: Micros;
   /** Of its steady clock: more than 1 is too fast. */
   rate: number;
+  /** Inputs that wait for the end of the step under way; used only while a meter is attached. */
+  inbox: Input[];
+  stepping: boolean;
 }
 
 /** Whoever calls gives the call up after that. */
@@ -102,6 +106,8 @@
   readonly network = new Network(() => this.now);
   /** Told of each transaction that a node sends, with its writes. */
   onWrite: (node: string, keys: readonly string[]) => void = () => undefined;
+  /** Measures the steps of nodes, whose processor time then passes on their clocks; null: steps take no time. */
+  meter: StepMeter | null = null;
   /** What nodes log, for those who look at it. */
   onLog: (node: string, event: string, fields: LogFields) => void = () => undefined;
   private readonly time = new Timeline();
@@ -177,6 +183,8 @@
       startAt: 0,
       frozenUntil: 0,
       rate: 1,
+      inbox: [],
+      stepping: false,
     }));
     for (const n of this.nodes) this.boot(n);
   }
@@ -203,6 +211,8 @@
 
   private boot(n: SimNode): void {
     n.life++;
+    n.inbox = [];
+    n.stepping = false;
     n.startAt = this.now;
     n.core = new Core(
       settingsFor(
@@ -212,7 +222,7 @@
         this.next,
         this.membership,
       ),
-      () => 0,
+      () => this.meter?.stopwatch() ?? 0,
       true,
       this.features(),
     );
@@ -265,8 +275,34 @@
       });
       return;
     }
-    const local = Math.floor((this.now - n.startAt) * n.rate) + 1;
-    for (const e of n.core.step(local, input)) this.perform(n, life, e);
+    if (this.meter === null) for (const e of n.core.step(this.localTime(n), input)) this.perform(n, life, e);
+    else {
+      n.inbox.push(input);
+      this.stepMetered(n, this.meter);
+    }
+  }
+
+  private localTime(n: SimNode): Micros {
+    return Math.floor((this.now - n.startAt) * n.rate) + 1;
+  }
+
+  /** Takes the node's next input. Its effects leave, and the input after it is taken, once the step's time has passed. */
+  private stepMetered(n: SimNode, meter: StepMeter): void {
+    if (n.stepping || n.core === null) return;
+    const input = n.inbox.shift();
+    if (input === undefined) return;
+    const { life } = n;
+    n.stepping = true;
+    const began = meter.stopwatch();
+    const effects = n.core.step(this.localTime(n), input);
+    const elapsedUs = meter.stopwatch() - began;
+    meter.stepped(n.name, input, elapsedUs, effects);
+    this.plan(elapsedUs, () => {
+      if (n.life !== life) return;
+      for (const effect of effects) this.perform(n, life, effect);
+      n.stepping = false;
+      this.stepMetered(n, meter);
+    });
   }
 
   private perform(n: SimNode, life: number, e: CoreEffect): void {
--- /dev/null
+++ b/packages/emulator/tools/scale.ts
@@ -0,0 +1,111 @@
+/**
+ * Measures how the costs of control grow with the size of a deployment. Machines, cloud and state service are emulated.
+ *
+ *     npx tsx packages/emulator/tools/scale.ts slopes --machines 300,1000,3000 --out slopes.json
+ */
+import { accessSync, constants, writeFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
+import { Command, InvalidArgumentError } from 'commander';
+import { fitLine } from '../src/scale/statistics.js';
+import { measureSize, type SizeReport } from '../src/scale/slopes.js';
+
+const EXIT_USAGE = 2;
+const MOST_MACHINES = 20_000;
+const MOST_BURST_TASKS = 40_000;
+/** Tasks of a burst for each machine, where the command line does not say. */
+const BURST_PER_MACHINE = 3;
+
+const wholeNumber =
+  (name: string, most: number) =>
+  (value: string): number => {
+    const number = Number(value);
+    if (!Number.isInteger(number) || number < 1 || number > most)
+      throw new InvalidArgumentError(`${name}: expected a whole number from 1 to ${most}`);
+    return number;
+  };
+
+const listOf =
+  (one: (value: string) => number) =>
+  (value: string): number[] =>
+    value.split(',').map(one);
+
+/** A file that can be written; checked before anything starts. */
+const writableFile = (value: string): string => {
+  const file = resolve(value);
+  try {
+    accessSync(dirname(file), constants.W_OK);
+  } catch {
+    throw new InvalidArgumentError(`--out: the folder ${dirname(file)} can't be written`);
+  }
+  return file;
+};
+
+const columns: readonly (readonly [string, (r: SizeReport) => string])[] = [
+  ['machines', (r) => String(r.machines)],
+  ['tasks', (r) => String(r.burst.tasks)],
+  ['all started s', (r) => r.burst.allStartedS?.toFixed(1) ?? 'no'],
+  ['all done', (r) => (r.burst.allDone ? 'yes' : 'no')],
+  ['rest core', (r) => r.rest.coreShare.toFixed(3)],
+  ['ms/start', (r) => r.burst.coreMsPerStart.toFixed(3)],
+  ['starts/core s', (r) => r.burst.startsPerCoreSecond.toFixed(0)],
+  ['plan p50/p99 ms', (r) => `${ms(r.burst.plans.wholeUs.p50)}/${ms(r.burst.plans.wholeUs.p99)}`],
+  ['longest step ms', (r) => ms(r.burst.longestStepUs)],
+  ['start p50/p99 s', (r) => `${r.burst.timeToStartS.p50.toFixed(1)}/${r.burst.timeToStartS.p99.toFixed(1)}`],
+  ['urgent p99 s', (r) => r.burst.urgentTimeToStartS.p99.toFixed(2)],
+  ['puts/start', (r) => r.burst.putsPerStart.toFixed(3)],
+  ['takeover s', (r) => (r.takeover.readyAfterS === null ? 'no' : r.takeover.readyAfterS.toFixed(1))],
+];
+
+const ms = (us: number): string => (us / 1000).toFixed(1);
+
+const printTable = (sizes: readonly SizeReport[]): void => {
+  console.log(columns.map(([name]) => name).join(' | '));
+  for (const size of sizes) console.log(columns.map(([, value]) => value(size)).join(' | '));
+};
+
+interface SlopesOptions {
+  readonly machines: number[];
+  readonly burst?: number;
+  readonly seed: number;
+  readonly out?: string;
+}
+
+const slopes = (options: SlopesOptions): void => {
+  const sizes = options.machines.map((machines) => {
+    const burstTasks = options.burst ?? BURST_PER_MACHINE * machines;
+    console.error(`${machines} machines, ${burstTasks} tasks`);
+    return measureSize({ machines, burstTasks, seed: options.seed });
+  });
+  const over = (value: (r: SizeReport) => number): ReturnType<typeof fitLine> =>
+    fitLine(sizes.map((r) => ({ x: r.machines, y: value(r) })));
+  const fits = {
+    restCoreShare: over((r) => r.rest.coreShare),
+    coreMsPerStart: over((r) => r.burst.coreMsPerStart),
+    planP99Us: over((r) => r.burst.plans.wholeUs.p99),
+    takeoverCoreS: over((r) => r.takeover.coreS),
+  };
+  printTable(sizes);
+  if (options.out !== undefined) writeFileSync(options.out, `${JSON.stringify({ sizes, fits }, null, 1)}\n`);
+  if (sizes.some((r) => r.brokenRules.length > 0)) {
+    console.error('rules broken:', sizes.flatMap((r) => r.brokenRules).join('; '));
+    process.exitCode = 1;
+  }
+};
+
+const program = new Command('scale').exitOverride((e) => {
+  process.exit(e.exitCode === 0 ? 0 : EXIT_USAGE);
+});
+program
+  .command('slopes')
+  .description("the leader's costs over a range of sizes, in simulated time")
+  .option(
+    '--machines <list>',
+    'sizes, separated by commas',
+    listOf(wholeNumber('--machines', MOST_MACHINES)),
+    [300, 1000, 3000],
+  )
+  .option('--burst <tasks>', 'tasks submitted at once', wholeNumber('--burst', MOST_BURST_TASKS))
+  .option('--seed <number>', 'seed of the emulated world', wholeNumber('--seed', 2 ** 31), 1)
+  .option('--out <file>', 'where the result goes as JSON', writableFile)
+  .action(slopes);
+program.parse();
