--- a/packages/core/src/decision/clearing.ts
+++ b/packages/core/src/decision/clearing.ts
@@ -1,5 +1,5 @@
 /** Stopping some work for other work: which waiting jobs have a right to that, when, and what it costs. */
-import type { Step } from './board.js';
+import type { Step } from './plan-input.js';
 import type { Attempt, ActiveJob } from '../picture/cluster.js';
 import type { Context } from '../base/context.js';
 import type { Estate } from '../picture/estate.js';
--- a/packages/core/src/decision/imaging.ts
+++ b/packages/core/src/decision/imaging.ts
@@ -1,5 +1,5 @@
 /** The picture that a plan works on, made of the machines as they are and what is predicted of them. */
-import type { Picture, Rentable } from './board.js';
+import type { Picture, Rentable } from './plan-input.js';
 import type { Change, Slot } from '../picture/slot.js';
 import type { Machine } from '../picture/cluster.js';
 import type { Context } from '../base/context.js';
--- /dev/null
+++ b/packages/core/src/decision/plan-input.ts
@@ -0,0 +1,92 @@
+/** What a plan works with: groups of waiting tasks, machines that exist or may be rented, and steps that it decides. */
+import type { JobSpec, MachineType, Micros } from '../model.js';
+import type { Slot } from '../picture/slot.js';
+
+/** A kind of machine that may be rented. */
+export interface Rentable {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly limit: number;
+}
+
+/** Identical waiting tasks of one job. */
+export interface Group {
+  readonly spec: JobSpec;
+  readonly count: number;
+  /** Tasks of the job in each zone already. */
+  readonly zones: ReadonlyMap<string, number>;
+  /** Machines that these tasks had better avoid. */
+  readonly avoid: ReadonlySet<string>;
+  /** Progress that a restart continues from. */
+  readonly credit: Micros;
+  /** Weight of the wait for a rented machine, 1 where the job has no tight aim. */
+  readonly margin: Micros;
+  /** How long it may wait for a cheaper place without risk to its next aim. */
+  readonly patience: Micros;
+  /** The only machines to look at, where room is being made for the group. */
+  readonly only: ReadonlySet<string> | null;
+  /**
+   * Its turn, its promise or its priority protects it: if it can't begin now, what it will need is kept
+   * from the groups behind it.
+   */
+  readonly reserve: boolean;
+  /** No real work: room kept for arrivals, or for stages to come. */
+  readonly phantom: boolean;
+  /** Phantom: room that is free now is kept for it. */
+  readonly kept?: boolean;
+  /** It can't begin before. */
+  readonly notBefore?: Micros;
+  /** Relative prices by type and kind, filled in as they are asked for. */
+  readonly dear: Map<string, number>;
+  /** Predicted run times by type, filled in as they are asked for. */
+  readonly runs: Map<string, Micros>;
+}
+
+/** `count` tasks of a group begin on a slot at a time. */
+export interface Step {
+  readonly group: Group;
+  readonly seat: Seat;
+  readonly slot: Slot;
+  readonly count: number;
+  readonly start: Micros;
+  readonly finish: Micros;
+}
+
+export interface Predictor {
+  runTime(spec: JobSpec, type: MachineType, credit: Micros): Micros;
+}
+
+export interface Picture {
+  readonly now: Micros;
+  slots: Slot[];
+  readonly rentable: readonly Rentable[];
+  rented: Map<Rentable, number>;
+  readonly predictor: Predictor;
+  readonly types: Iterable<MachineType>;
+  /** Tasks that come again and again: small ones had better leave whole places for the large ones among them. */
+  readonly kinds?: readonly JobSpec[];
+}
+
+export interface Option {
+  readonly seat: Seat;
+  readonly rentable: Rentable | null;
+  readonly start: Micros;
+  readonly finish: Micros;
+  readonly count: number;
+  readonly rank: number;
+  /** On a machine that costs several times what its job could do with. */
+  readonly dear: boolean;
+  readonly warm: boolean;
+}
+
+/** A slot with what is known of when it may have room. */
+export interface Seat {
+  readonly slot: Slot;
+  /** No work of the plan fits before that, by need of GPUs (0 without, 1 with). Never later than the truth. */
+  readonly floor: [Micros, Micros];
+  /** Idle seats with the same number are alike; -1: like no other. */
+  alike: number;
+}
+
+export const gpuKind = (spec: JobSpec): 0 | 1 => (spec.gpus > 0 ? 1 : 0);
--- a/packages/core/src/decision/search.ts
+++ b/packages/core/src/decision/search.ts
@@ -4,12 +4,13 @@
  * 10.2-10.4). Past its budget it is earliest predicted finish, which is the same play-out without
  * alternatives for the first step.
  */
-import { Board, gpuKind, type Group, type Option, type Picture, type Step } from './board.js';
+import { gpuKind, type Group, type Option, type Picture, type Step } from './plan-input.js';
+import { PlacementSimulation } from './simulation.js';
 import type { JobSpec, Micros } from '../model.js';
 import { spreadLimit } from '../base/room.js';
 
 /** Zones a job may still use: one already taken binds a job that must stay in one zone. */
-const zoneChoices = (b: Board, g: Group): readonly (string | null)[] => {
+const zoneChoices = (b: PlacementSimulation, g: Group): readonly (string | null)[] => {
   if (!g.spec.sameZone) return [null];
   const taken = [...g.zones].filter(([, n]) => n > 0).map(([z]) => z);
   return taken.length > 0 ? taken.slice(0, 1) : b.zones;
@@ -29,7 +30,7 @@
 
 /** The best places that together hold `wanted` tasks, best first; fewer where there are not as many. */
 const bestOptions = (
-  b: Board,
+  b: PlacementSimulation,
   g: Group,
   zoneAllowed: (zone: string) => boolean,
   wanted: number,
@@ -51,7 +52,7 @@
 
 /** Places tasks a chunk at a time where they finish first. Null: some can be placed nowhere. */
 const placeTasks = (
-  b: Board,
+  b: PlacementSimulation,
   g: Group,
   zone: string | null,
   first: Option | null,
@@ -100,7 +101,7 @@
 };
 
 /** All members begin together: the start is that of the last one, the finish that of the slowest. */
-const asGang = (b: Board, steps: readonly Step[]): Step[] => {
+const asGang = (b: PlacementSimulation, steps: readonly Step[]): Step[] => {
   const start = Math.max(...steps.map((s) => s.start));
   const length = Math.max(...steps.map((s) => s.finish - s.start));
   for (const s of steps) {
@@ -119,7 +120,12 @@
  * gangs then hold each other's places in the plan, and none begins. Seen on a krakow day: 60 places stood
  * idle while ten gangs of 16 waited. Both are tried where they differ.
  */
-const placeGang = (b: Board, g: Group, zone: string | null, first: Option | null): Step[] | null => {
+const placeGang = (
+  b: PlacementSimulation,
+  g: Group,
+  zone: string | null,
+  first: Option | null,
+): Step[] | null => {
   const { now } = b.picture;
   const mark = b.mark();
   const roomNow = b.hasRoomNow(g, zone, g.count);
@@ -143,7 +149,7 @@
 };
 
 /** Places one group under earliest predicted finish. Null, and no trace, if it fits nowhere, now or later. */
-export const placeGroup = (b: Board, g: Group, first: Option | null = null): Step[] | null => {
+export const placeGroup = (b: PlacementSimulation, g: Group, first: Option | null = null): Step[] | null => {
   const mark = b.mark();
   const place = (zone: string | null): Step[] | null => {
     const steps = g.spec.shape === 'gang' ? placeGang(b, g, zone, first) : placeTasks(b, g, zone, first);
@@ -179,7 +185,11 @@
 }
 
 /** Plays `groups` out to completion and adds what `opening` already decided. */
-export const playOut = (b: Board, groups: readonly Group[], opening: readonly Step[]): Score => {
+export const playOut = (
+  b: PlacementSimulation,
+  groups: readonly Group[],
+  opening: readonly Step[],
+): Score => {
   const p = b.picture;
   let makespan = 0;
   let sum = 0;
@@ -236,7 +246,7 @@
 };
 
 /** Whether the group can begin at this moment: a gang needs room for all its members. */
-const beginsNow = (b: Board, g: Group): boolean => {
+const beginsNow = (b: PlacementSimulation, g: Group): boolean => {
   const wanted = g.spec.shape === 'gang' ? g.count : 1;
   return zoneChoices(b, g).some((z) => b.hasRoomNow(g, z, wanted));
 };
@@ -245,7 +255,7 @@
  * For one group: the best place whose image is there and the best whose is not, or that boots. None if
  * the group can't begin now: a gang needs room for all its members.
  */
-const firstOptions = (b: Board, g: Group): Option[] => {
+const firstOptions = (b: PlacementSimulation, g: Group): Option[] => {
   const out: Option[] = [];
   const { now } = b.picture;
   const wanted = g.spec.shape === 'gang' ? g.count : 1;
@@ -289,7 +299,7 @@
   stopwatch: () => Micros,
 ): Decision => {
   const began = stopwatch();
-  const b = new Board(p, groups);
+  const b = new PlacementSimulation(p, groups);
   const steps: Step[] = [];
   let left = groups.filter((g) => !g.phantom);
   const kept = groups.filter((g) => g.kept === true);
--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -1,7 +1,7 @@
 /** Plans: which waiting work begins where now, by a search over the newest picture; only that is done. */
 import { stagesAhead } from '../decision/ahead.js';
 import type { Attempts } from '../attempts/attempts.js';
-import type { Group, Step } from '../decision/board.js';
+import type { Group, Step } from '../decision/plan-input.js';
 import type { Clearing } from '../decision/clearing.js';
 import type { ActiveJob, Machine } from '../picture/cluster.js';
 import type { Dependencies } from '../jobs/dependencies.js';
--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -3,7 +3,7 @@
 import type { Machine } from '../picture/cluster.js';
 import type { CloudReply, JobSpec, ListedMachine, Micros } from '../model.js';
 import { SECOND } from '../model.js';
-import type { Group, Rentable } from '../decision/board.js';
+import type { Group, Rentable } from '../decision/plan-input.js';
 import type { Decision } from '../decision/search.js';
 import { typeAllowed } from '../base/room.js';
 import type { Standing } from './standing.js';
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -4,7 +4,8 @@
 import { latestStart, mergeOrders, orderByAims } from '@shaleyoke/core/picture/aims';
 import { attemptKey, Machine, type Attempt, ActiveJob } from '@shaleyoke/core/picture/cluster';
 import { SECOND, type JobSpec, type MachineType } from '@shaleyoke/core/model';
-import { Board, type Group, type Picture, type Rentable } from '@shaleyoke/core/decision/board';
+import type { Group, Picture, Rentable } from '@shaleyoke/core/decision/plan-input';
+import { PlacementSimulation } from '@shaleyoke/core/decision/simulation';
 import type { Slot } from '@shaleyoke/core/picture/slot';
 import { Clearings } from '@shaleyoke/core/decision/preemption';
 import { placeGroup, playOut, search } from '@shaleyoke/core/decision/search';
@@ -96,9 +97,9 @@
   const p = (): Picture => pictureOf([slotOf('m', typeOf('cpu'))], { cpu: 5 });
   const ok = groupOf(specOf('run-1'));
   const never = groupOf(specOf('run-2', { cores: 99 }));
-  const all = playOut(new Board(p(), [ok, never]), [ok, never], []);
+  const all = playOut(new PlacementSimulation(p(), [ok, never]), [ok, never], []);
   assert.equal(all.unplaced, never.count);
-  assert.ok(all.makespan >= playOut(new Board(p(), [ok]), [ok], []).makespan);
+  assert.ok(all.makespan >= playOut(new PlacementSimulation(p(), [ok]), [ok], []).makespan);
 });
 
 test('the same picture gives the same choice', () => {
@@ -222,7 +223,7 @@
     ),
   );
   const picture = pictureOf(slots, { cpu: 30 }, [{ type, zone: 'a', spot: false, limit: 3 }]);
-  const b = new Board(picture, groups);
+  const b = new PlacementSimulation(picture, groups);
   const before = JSON.stringify(picture.slots);
   const mark = b.mark();
   playOut(b, groups, []);
@@ -244,7 +245,10 @@
         { cpu: 30 },
         picture.rentable.filter((r) => zone === null || r.zone === zone),
       );
-      const steps = placeGroup(new Board(one, [g]), { ...g, spec: { ...g.spec, sameZone: false } })!;
+      const steps = placeGroup(new PlacementSimulation(one, [g]), {
+        ...g,
+        spec: { ...g.spec, sameZone: false },
+      })!;
       best = Math.min(best, Math.max(...steps.map((s) => s.finish)));
     }
     assert.equal(finish, best);
