--- a/packages/core/src/attempts/attempts.ts
+++ b/packages/core/src/attempts/attempts.ts
@@ -27,6 +27,8 @@
 export class Attempts {
   /** Completed or stopped runs that were learned from since the last time this was set back. */
   noted = 0;
+  /** Machines with starts that leave at the end of the step. */
+  private readonly toPump = new Set<Machine>();
 
   constructor(
     private readonly term: Term,
@@ -296,7 +298,18 @@
       return;
     }
     m.outbox.push({ op: 'start', job: job.id, index: a.index, attempt: a.no });
-    this.pump(m);
+    this.pumpTogether(m);
+  }
+
+  /** Starts on a machine that are decided, or put on record, in one step go out in one call. */
+  private pumpTogether(m: Machine): void {
+    if (this.toPump.size === 0)
+      this.term.ctx.atEndOfStep(() => {
+        const machines = [...this.toPump];
+        this.toPump.clear();
+        for (const machine of machines) this.pump(machine);
+      });
+    this.toPump.add(m);
   }
 
   /** Sends what waits for a machine, one call at a time. */
--- a/packages/core/src/base/context.ts
+++ b/packages/core/src/base/context.ts
@@ -34,6 +34,8 @@
   types: ReadonlyMap<string, MachineType> = new Map();
   out: CoreEffect[] = [];
 
+  /** What is put off to the end of the step under way. */
+  private atEnd: (() => void)[] = [];
   private nextCall = 1;
   private timerOrder = 0;
   private timers: Timer[] = [];
@@ -105,6 +107,20 @@
     this.timers.push({ at: this.now + delay, order: this.timerOrder++, run });
   }
 
+  /** Once, when all else of this step is done: what several parts ask for in one step is then done together. */
+  atEndOfStep(run: () => void): void {
+    this.atEnd.push(run);
+  }
+
+  /** Also what is put off meanwhile. */
+  runEndOfStep(): void {
+    while (this.atEnd.length > 0) {
+      const due = this.atEnd;
+      this.atEnd = [];
+      for (const run of due) this.guard('end of step', run);
+    }
+  }
+
   stateReplied(call: number, r: StateReply): void {
     const waiting = this.stateCalls.get(call);
     this.stateCalls.delete(call);
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -76,6 +76,7 @@
       this.take(input);
     });
     this.ctx.runDueTimers();
+    this.ctx.runEndOfStep();
     const at = this.ctx.nextWake();
     if (at !== null) this.ctx.emit({ kind: 'wake', at });
     return this.ctx.out;
