--- a/packages/core/src/attempts/attempts.ts
+++ b/packages/core/src/attempts/attempts.ts
@@ -112,7 +112,7 @@
   private attach(a: Attempt): void {
     a.job.live.set(a.index, a);
     a.machine.attempts.set(attemptKey(a.job.id, a.index), a);
-    a.machine.changes++;
+    a.machine.touch();
   }
 
   /** Out of the picture; false if it was not in it. */
@@ -121,7 +121,7 @@
     const key = attemptKey(job.id, a.index);
     if (m.attempts.get(key) !== a) return false;
     m.attempts.delete(key);
-    m.changes++;
+    m.touch();
     if (job.live.get(a.index) === a) job.live.delete(a.index);
     if (m.attempts.size === 0) m.idleSince = this.term.ctx.now;
     job.reopen(a.index);
@@ -247,7 +247,7 @@
     }
     const { ctx } = this.term;
     a.stopping = { since: ctx.now, graceUs };
-    a.machine.changes++;
+    a.machine.touch();
     ctx.debug('attempt.stop', { job: a.job.id, task: a.index, machine: a.machine.name, graceUs });
     a.machine.outbox.push({ op: 'stop', job: a.job.id, index: a.index, attempt: a.no, graceUs });
     this.pump(a.machine);
--- a/packages/core/src/attempts/reports.ts
+++ b/packages/core/src/attempts/reports.ts
@@ -89,7 +89,7 @@
       // renews nothing, would else end at once what it had just started there (ran_twice in a generated history).
       m.leaseFrom = ctx.now;
       m.images.clear();
-      m.changes++;
+      m.touch();
     }
     m.seq = r.seq;
     m.seenToken = Math.max(m.seenToken, r.token);
@@ -195,6 +195,7 @@
   private prove(a: Attempt, proof: boolean): void {
     if (a.proven || !proof) return;
     a.proven = true;
+    a.machine.notifyObserver();
     if (a.runningAt !== null) this.host.running(a);
   }
 
@@ -203,7 +204,7 @@
     const { ctx } = this.term;
     ctx.debug('attempt.state', { job: a.job.id, task: a.index, machine: m.name, state: t.state });
     a.state = t.state;
-    m.changes++;
+    m.touch();
     if (t.state === 'running' && a.runningAt === null) {
       a.runningAt = ctx.now;
       if (a.proven) this.host.running(a);
--- a/packages/core/src/decision/clearing.ts
+++ b/packages/core/src/decision/clearing.ts
@@ -33,7 +33,7 @@
     // Looking for victims goes through all machines: only where there may be some, and a few times a plan.
     const { teams } = this.ctx.settings;
     const guarantees = teams.length > 1 && teams.some((t) => t.cores > 0 || t.gpus > 0);
-    const lowest = this.lowestRunning();
+    const lowest = this.estate.totals.lowestRunning();
     const { now } = this.ctx;
     let clearings: Clearings | null = null;
     let stopped = 0;
@@ -116,11 +116,4 @@
     }
     return false;
   }
-
-  private lowestRunning(): number {
-    let lowest = 3;
-    for (const m of this.estate.machines.values())
-      for (const a of m.attempts.values()) lowest = Math.min(lowest, a.job.priority);
-    return lowest;
-  }
 }
--- a/packages/core/src/decision/ordering.ts
+++ b/packages/core/src/decision/ordering.ts
@@ -3,7 +3,7 @@
 import type { Context } from '../base/context.js';
 import type { Estate } from '../picture/estate.js';
 import type { ActiveJob } from '../picture/cluster.js';
-import { SECOND, type Micros } from '../model.js';
+import { SECOND, type Micros, type Priority } from '../model.js';
 import { turnOrder } from '../picture/teams.js';
 
 export class Ordering {
@@ -38,7 +38,7 @@
       levels.set(key, level);
     }
     const ordered: ActiveJob[] = [];
-    for (const priority of [3, 2, 1, 0]) {
+    for (const priority of [3, 2, 1, 0] as const) {
       const orders = ['cpu', 'gpu']
         .map((kind) => ({ kind, jobs: levels.get(`${priority}|${kind}`) }))
         .filter((l) => l.jobs !== undefined)
@@ -81,7 +81,7 @@
     return out;
   }
 
-  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: number): AimOrder {
+  private byAims(jobs: readonly ActiveJob[], gpu: boolean, priority: Priority): AimOrder {
     let work = 0;
     let amounts = 0;
     let cores = 0;
@@ -96,41 +96,7 @@
       return { job, amount, latest: this.estate.slackOf(job) };
     });
     const mean = amounts > 0 ? work / amounts : SECOND;
-    const room = this.roomFor(gpu, priority, gpu && amounts > 0 ? cores / amounts : 1);
+    const room = this.estate.totals.room(gpu, priority, gpu && amounts > 0 ? cores / amounts : 1);
     return orderByAims(contenders, room.free, room.total / Math.max(mean, SECOND));
   }
-
-  /**
-   * What work of this kind and priority can have: all in all, and now. GPUs count as far as there are cores beside them:
-   * where work without GPUs fills machines with GPUs, more seemed to come free than did, everything seemed to be in
-   * time, and in the order of latest starts nearly everything came too late (gedeeld-fleet loss: 0.18 of the arrays in
-   * time, though ten jobs ended in every half minute). Cores count whole: work with GPUs leaves them to others sooner
-   * or later, and taking them off was tried (krakow-next, one play each: price 2.3 -> 3.0 and 3.5 -> 4.1).
-   */
-  private roomFor(gpu: boolean, priority: number, coresEach: number): { total: number; free: number } {
-    let total = 0;
-    let free = 0;
-    for (const m of this.estate.machines.values()) {
-      const type = this.ctx.types.get(m.type);
-      if (type === undefined || m.retiring !== null) continue;
-      if (gpu && type.gpus === 0) continue;
-      const left = m.freeOf(type);
-      // Beside GPUs, cores and GPUs that this work has no right to; and what it could have of lower priorities.
-      let cores = 0;
-      let gpus = 0;
-      let lower = 0;
-      for (const { job } of m.attempts.values()) {
-        if (job.priority < priority) lower += gpu ? job.spec.gpus : job.spec.cores;
-        else if (gpu && (job.priority > priority || job.spec.gpus === 0)) {
-          cores += job.spec.cores;
-          gpus += job.spec.gpus;
-        }
-      }
-      total += gpu ? Math.min(type.gpus - gpus, Math.max(0, type.cores - cores) / coresEach) : type.cores;
-      if (!m.up) continue;
-      // Room held by lower priorities can be had: without it, large jobs seem to come too late always.
-      free += Math.max(0, gpu ? Math.min(left.gpus, left.cores / coresEach) : left.cores) + lower;
-    }
-    return { total, free };
-  }
 }
--- a/packages/core/src/picture/cluster.ts
+++ b/packages/core/src/picture/cluster.ts
@@ -91,11 +91,10 @@
   doomed = false;
   /** Time of day at which the last job that it needs was done; null for a job that needs none. */
   releasedAt: Micros | null = null;
-  /** The highest priority of the jobs that need it, and of its own. */
-  priority: Priority;
   /** The tightest deadline among the jobs that need it. */
   chain: Chain | null = null;
   private cursor = 0;
+  private effectivePriority: Priority;
 
   constructor(
     readonly spec: JobSpec,
@@ -107,7 +106,18 @@
   ) {
     this.done = new Bits(spec.tasks);
     this.durable = new Bits(spec.tasks);
-    this.priority = spec.priority;
+    this.effectivePriority = spec.priority;
+  }
+
+  /** The highest priority of the jobs that need it, and of its own. */
+  get priority(): Priority {
+    return this.effectivePriority;
+  }
+
+  set priority(value: Priority) {
+    if (value === this.effectivePriority) return;
+    this.effectivePriority = value;
+    for (const attempt of this.live.values()) attempt.machine.notifyObserver();
   }
 
   /** Whether any task of it was ever started, by this leader or an earlier one: then it goes on to its end. */
@@ -171,15 +181,16 @@
   }
 }
 
+/** Who keeps something derived from machines up to date. */
+export interface MachineObserver {
+  /** Attempts on the machine, or what they count for, changed. */
+  changed(machine: Machine): void;
+}
+
 export class Machine {
   address: string;
   /** Whether the machine is on record: nothing is started on one that is not. */
   recorded: 'no' | 'writing' | 'yes' = 'no';
-  /** Was there before this service rented anything: kept when idle. */
-  standing = false;
-  up = false;
-  /** Is being returned: nothing is started on it any more. */
-  retiring: string | null = null;
   session = 0;
   seq = -1;
   /** Highest token that the worker said it has seen. */
@@ -195,10 +206,6 @@
   lastReport: Micros = 0;
   upSince: Micros = 0;
   notice: Micros | null = null;
-  /** May hold tasks from before this term that nobody has told us about yet. */
-  unresolved = false;
-  /** Tasks on it that this leader can't account for. */
-  strangers = 0;
   readonly attempts = new Map<string, Attempt>();
   readonly images = new Map<string, Micros>();
   outbox: Order[] = [];
@@ -212,6 +219,12 @@
   deleting = false;
   /** Counts what changes its place in the picture; the slot made of it is kept until then. */
   changes = 0;
+  private isUp = false;
+  private isStanding = false;
+  private retiringFor: string | null = null;
+  private isUnresolved = false;
+  private unknownTasks = 0;
+  private observer: MachineObserver | null = null;
   private freed: { changes: number; total: Readonly<Amounts>; free: Amounts } | null = null;
   pictured: { readonly changes: number; readonly at: Micros; readonly slot: Slot } | null = null;
 
@@ -229,6 +242,75 @@
     this.rentedAt = now;
   }
 
+  /** Is told from now on of each change that counts; null: nobody is. */
+  observe(observer: MachineObserver | null): void {
+    this.observer = observer;
+  }
+
+  notifyObserver(): void {
+    this.observer?.changed(this);
+  }
+
+  /** Its attempts, images or session changed: what was derived from them is derived anew. */
+  touch(): void {
+    this.changes++;
+    this.notifyObserver();
+  }
+
+  get up(): boolean {
+    return this.isUp;
+  }
+
+  set up(value: boolean) {
+    if (value === this.isUp) return;
+    this.isUp = value;
+    this.notifyObserver();
+  }
+
+  /** Was there before this service rented anything: kept when idle. */
+  get standing(): boolean {
+    return this.isStanding;
+  }
+
+  set standing(value: boolean) {
+    if (value === this.isStanding) return;
+    this.isStanding = value;
+    this.notifyObserver();
+  }
+
+  /** Why it is being returned: nothing is started on it any more; null: it is not. */
+  get retiring(): string | null {
+    return this.retiringFor;
+  }
+
+  set retiring(value: string | null) {
+    if (value === this.retiringFor) return;
+    this.retiringFor = value;
+    this.notifyObserver();
+  }
+
+  /** May hold tasks from before this term that nobody has told us about yet. */
+  get unresolved(): boolean {
+    return this.isUnresolved;
+  }
+
+  set unresolved(value: boolean) {
+    if (value === this.isUnresolved) return;
+    this.isUnresolved = value;
+    this.notifyObserver();
+  }
+
+  /** Tasks on it that this leader can't account for. */
+  get strangers(): number {
+    return this.unknownTasks;
+  }
+
+  set strangers(value: number) {
+    if (value === this.unknownTasks) return;
+    this.unknownTasks = value;
+    this.notifyObserver();
+  }
+
   /** Whether a report is newer than everything known of the machine. */
   isNewer(r: Report): boolean {
     return r.session > this.session || (r.session === this.session && r.seq > this.seq);
--- a/packages/core/src/picture/estate.ts
+++ b/packages/core/src/picture/estate.ts
@@ -1,11 +1,13 @@
 /** What the leader knows in one term, and what it predicts from that. Changes nothing. */
 import { latestStart } from './aims.js';
 import type { Attempt, Machine, ActiveJob } from './cluster.js';
+import { ClusterTotals } from './cluster-totals.js';
+import { MachineRegistry } from './machine-registry.js';
 import type { Context } from '../base/context.js';
 import { SECOND, type Micros } from '../model.js';
 import type { Rights } from './rights.js';
 import { typeAllowed } from '../base/room.js';
-import { guaranteedJobs, Usage } from './teams.js';
+import { guaranteedJobs, type Usage } from './teams.js';
 import { Timings } from './timings.js';
 
 /** From a decision to start until the task runs, where its image is there. */
@@ -14,11 +16,17 @@
 export const HANDOVER = 3 * SECOND;
 
 export class Estate {
-  readonly machines = new Map<string, Machine>();
+  readonly machines: Map<string, Machine>;
+  readonly totals: ClusterTotals;
   readonly jobs = new Map<string, ActiveJob>();
   readonly timings = new Timings();
 
-  constructor(readonly ctx: Context) {}
+  constructor(readonly ctx: Context) {
+    const machines = new MachineRegistry();
+    this.totals = new ClusterTotals(machines, () => ctx.types);
+    machines.observer = this.totals;
+    this.machines = machines;
+  }
 
   remaining(a: Attempt): Micros {
     const { spec } = a.job;
@@ -29,16 +37,7 @@
   }
 
   usage(): Usage {
-    const u = new Usage();
-    for (const m of this.machines.values()) {
-      let hearsay = false;
-      for (const a of m.attempts.values()) {
-        if (a.proven) u.add(a.job.spec, 1);
-        else hearsay = true;
-      }
-      if (m.unresolved || m.strangers > 0 || hearsay) u.doubt(this.ctx.types.get(m.type) ?? null, m);
-    }
-    return u;
+    return this.totals.usage();
   }
 
   startable(job: ActiveJob): boolean {
@@ -57,8 +56,7 @@
   thrifty(): boolean {
     const { thrift } = this.ctx.settings.tuning;
     if (thrift !== 'auto') return thrift === 'on';
-    for (const m of this.machines.values()) if (m.standing) return false;
-    return true;
+    return !this.totals.anyStanding;
   }
 
   slackOf(job: ActiveJob): Micros | null {
@@ -93,17 +91,8 @@
   }
 
   rights(): Rights {
-    const use = new Map<string, { cores: number; gpus: number }>();
-    for (const m of this.machines.values())
-      for (const a of m.attempts.values()) {
-        const { team, cores, gpus } = a.job.spec;
-        const u = use.get(team) ?? { cores: 0, gpus: 0 };
-        u.cores += cores;
-        u.gpus += gpus;
-        use.set(team, u);
-      }
     const { teams } = this.ctx.settings;
     const inside = guaranteedJobs([...this.jobs.values()], teams);
-    return { teams, use, guaranteed: (job) => inside.has(job) };
+    return { teams, use: this.totals.teamUse(), guaranteed: (job) => inside.has(job) };
   }
 }
--- a/packages/core/src/picture/teams.ts
+++ b/packages/core/src/picture/teams.ts
@@ -20,8 +20,12 @@
   }
 
   add(spec: JobSpec, times: number): void {
-    this.cores.set(spec.team, (this.cores.get(spec.team) ?? 0) + spec.cores * times);
-    this.gpus.set(spec.team, (this.gpus.get(spec.team) ?? 0) + spec.gpus * times);
+    this.addAmounts(spec.team, spec.cores * times, spec.gpus * times);
+  }
+
+  addAmounts(team: string, cores: number, gpus: number): void {
+    this.cores.set(team, (this.cores.get(team) ?? 0) + cores);
+    this.gpus.set(team, (this.gpus.get(team) ?? 0) + gpus);
   }
 
   /** How many more tasks of this kind the team's limit allows. A limit of 0 means there is none. */
