--- a/packages/core/src/decision/imaging.ts
+++ b/packages/core/src/decision/imaging.ts
@@ -16,7 +16,10 @@
     this.ctx = estate.ctx;
   }
 
-  /** Kept from plan to plan while nothing changes on the machine, for as long as predictions stay fresh. */
+  /**
+   * Kept from plan to plan while nothing changes on the machine, for as long as predictions stay fresh. A plan takes
+   * back what it changed in it.
+   */
   private slotOf(m: Machine, type: MachineType, thrifty: boolean): Slot | null {
     const booting = !m.up && m.retiring === null && !m.unresolved && m.session === 0;
     if (!booting && !m.usable()) return null;
@@ -29,10 +32,15 @@
       now - kept.at < PICTURE_FRESH &&
       kept.slot.type === type &&
       (kept.slot.changes[0]?.at ?? Infinity) > now + 100 * MILLI
-    )
-      return { ...kept.slot, sunk: m.standing || !thrifty, ready: now };
+    ) {
+      const sunk = m.standing || !thrifty;
+      if (sunk !== kept.slot.sunk) delete kept.slot.likeness;
+      kept.slot.sunk = sunk;
+      kept.slot.ready = now;
+      return kept.slot;
+    }
     const slot = this.makeSlot(m, type, thrifty, booting);
-    if (!booting) m.pictured = { changes: m.changes, at: now, slot: { ...slot } };
+    if (!booting) m.pictured = { changes: m.changes, at: now, slot };
     return slot;
   }
 
--- /dev/null
+++ b/packages/core/src/decision/overflow.ts
@@ -0,0 +1,94 @@
+/**
+ * Waiting work beyond what a plan compares: it begins where there is room now, behind all that the plan decided before
+ * it. A kind of task that finds no room is not looked for again in the same plan, so that hundreds of equal jobs cost
+ * about what one costs.
+ */
+import { beginsNow } from './first-options.js';
+import { bestOptions, placeGroup, zoneChoices, zoneRoom } from './place-group.js';
+import type { Group, Option, Step } from './plan-input.js';
+import type { PlacementSimulation } from './simulation.js';
+
+/** What decides where a task may go, where nothing about its job's other tasks does. */
+const kindOf = ({ spec }: Group): string =>
+  [
+    spec.priority,
+    spec.cores,
+    spec.gpus,
+    spec.memoryGb,
+    spec.zone ?? '*',
+    spec.spot,
+    spec.types?.join('+') ?? '*',
+  ].join('|');
+
+const isUnbound = ({ spec, zones, only }: Group): boolean =>
+  only === null && (zones.size === 0 || !(spec.sameZone || spec.spread));
+
+/** The zone with the most room now, for a group whose tasks have to be in one; null: any zone. */
+const zoneFor = (simulation: PlacementSimulation, group: Group): string | null => {
+  let best: { zone: string | null; room: number } | null = null;
+  for (const zone of zoneChoices(simulation, group)) {
+    const room = simulation.roomNow(group, zone, group.count);
+    if (best === null || room > best.room) best = { zone, room };
+  }
+  return best?.zone ?? null;
+};
+
+/** As many of a group's tasks as can begin now, where they finish first. */
+export const placeAtOnce = (simulation: PlacementSimulation, group: Group): Step[] => {
+  const { now } = simulation.picture;
+  const zone = zoneFor(simulation, group);
+  const used = new Map<string, number>();
+  const allowed = (z: string): boolean => (zone === null || z === zone) && zoneRoom(group, used, z) >= 1;
+  const startsNow = (option: Option): boolean => option.start <= now && option.rentable === null;
+  const steps: Step[] = [];
+  let left = group.count;
+  while (left > 0) {
+    const options = bestOptions(simulation, group, allowed, left, startsNow);
+    if (options.length === 0) break;
+    for (const { seat, start, finish, count: most } of options) {
+      const { slot } = seat;
+      if (left <= 0) break;
+      if (!allowed(slot.zone)) continue;
+      const count = Math.min(left, most, zoneRoom(group, used, slot.zone));
+      simulation.occupy(seat, group, count, start, finish);
+      used.set(slot.zone, (used.get(slot.zone) ?? 0) + count);
+      steps.push({ group, seat, slot, count, start, finish });
+      left -= count;
+    }
+  }
+  return steps;
+};
+
+/** A gang begins whole or not at all. */
+const placeNow = (simulation: PlacementSimulation, group: Group): Step[] => {
+  if (!beginsNow(simulation, group)) return [];
+  if (group.spec.shape !== 'gang') return placeAtOnce(simulation, group);
+  const mark = simulation.mark();
+  const steps = placeGroup(simulation, group) ?? [];
+  if (steps.every((step) => step.start <= simulation.picture.now)) return steps;
+  simulation.rollback(mark);
+  return [];
+};
+
+/** The steps of each group that begins now, in the given order, for as long as there is time. */
+export function* placeOverflow(
+  simulation: PlacementSimulation,
+  groups: Iterable<Group>,
+  hasTime: () => boolean,
+): Generator<readonly Step[]> {
+  /** The fewest tasks at once for which a kind found no room. */
+  const noRoomFor = new Map<string, number>();
+  for (const group of groups) {
+    if (!hasTime()) return;
+    const kind = kindOf(group);
+    const atOnce = group.spec.shape === 'gang' ? group.count : 1;
+    const steps = atOnce >= (noRoomFor.get(kind) ?? Infinity) ? [] : placeNow(simulation, group);
+    if (steps.length === 0) {
+      if (isUnbound(group) && !group.spec.sameZone)
+        noRoomFor.set(kind, Math.min(atOnce, noRoomFor.get(kind) ?? Infinity));
+      // What it is entitled to first is not given to lower priorities meanwhile.
+      if (group.reserve) simulation.keepFor(group);
+    }
+    yield steps;
+  }
+}
--- /dev/null
+++ b/packages/core/src/decision/plenty.ts
@@ -0,0 +1,38 @@
+/** Whether there is so much room that it does not matter in which order waiting work is placed. */
+import { beginsNow } from './first-options.js';
+import type { Group } from './plan-input.js';
+import type { PlacementSimulation } from './simulation.js';
+import type { Amounts } from '../base/room.js';
+
+/** Room must be so many times what is asked for: what is left between tasks of different sizes is of no use. */
+const MARGIN = 2;
+
+const demandOf = (groups: readonly Group[]): Amounts => {
+  const demand = { cores: 0, gpus: 0, memoryGb: 0 };
+  for (const { spec, count } of groups) {
+    demand.cores += spec.cores * count;
+    demand.gpus += spec.gpus * count;
+    demand.memoryGb += spec.memoryGb * count;
+  }
+  return demand;
+};
+
+const covers = (room: Readonly<Amounts>, demand: Readonly<Amounts>): boolean =>
+  room.cores >= MARGIN * demand.cores &&
+  room.gpus >= MARGIN * demand.gpus &&
+  room.memoryGb >= MARGIN * demand.memoryGb;
+
+/** Machines that a group may use, as text: groups with the same text share all of them. */
+const reachOf = ({ spec }: Group): string =>
+  `${spec.types?.join('+') ?? '*'}|${spec.zone ?? '*'}|${spec.spot}`;
+
+/**
+ * True only if all groups can begin now together: where each of them may go there is free room for several times what
+ * all of them need. False says nothing.
+ */
+export const allBeginNow = (simulation: PlacementSimulation, groups: readonly Group[]): boolean => {
+  const demand = demandOf(groups);
+  const reaches = new Map(groups.map((group) => [reachOf(group), group]));
+  for (const group of reaches.values()) if (!covers(simulation.freeNow(group), demand)) return false;
+  return groups.every((group) => group.only === null && beginsNow(simulation, group));
+};
--- a/packages/core/src/decision/simulation.ts
+++ b/packages/core/src/decision/simulation.ts
@@ -5,7 +5,7 @@
  */
 import type { JobSpec, MachineType, Micros } from '../model.js';
 import type { Amounts } from '../base/room.js';
-import { fits, placeAllowed, timesFits } from '../base/room.js';
+import { addTo, fits, placeAllowed, timesFits } from '../base/room.js';
 import type { Change, Slot } from '../picture/slot.js';
 import { gpuKind, type Group, type Option, type Picture, type Rentable, type Seat } from './plan-input.js';
 import {
@@ -51,6 +51,10 @@
 /** Stands for the floor of a rented machine, which is added behind the sorted ones. */
 const UNSORTED = -1;
 
+/** Of a machine on which nothing runs, all that decides what it can offer beside when it is ready. */
+const likenessOf = ({ type, zone, spot, sunk, free, images }: Slot): string =>
+  `${type.name}|${sunk ? 'sunk' : ''}|${zone}|${spot ? 's' : 'o'}|${free.cores}|${free.gpus}|${free.memoryGb}|${[...images].join()}`;
+
 export class PlacementSimulation {
   readonly zones: readonly string[];
   private readonly pools = new Map<string, Pool>();
@@ -67,6 +71,8 @@
   constructor(
     readonly picture: Picture,
     groups: readonly Group[],
+    /** Kinds of tasks that may be placed beside the groups. */
+    furtherKinds: readonly JobSpec[] = [],
   ) {
     const kinds = new Map<string, JobSpec>();
     for (const k of [...(picture.kinds ?? []), ...groups.map((g) => g.spec)]) {
@@ -88,6 +94,7 @@
     this.zones = [...zones];
     for (const p of this.pools.values()) {
       for (const g of groups) this.widen(p, g.spec);
+      for (const spec of furtherKinds) this.widen(p, spec);
       this.sort(p);
     }
   }
@@ -124,13 +131,14 @@
   }
 
   /** Idle machines that differ in nothing that counts need be looked at once. */
-  private alikeOf(s: Slot): number {
-    if (s.changes.length > 0) return -1;
-    const { cores, gpus, memoryGb } = s.free;
-    const key = `${s.type.name}|${s.zone}|${s.spot ? 's' : 'o'}|${s.sunk ? 1 : 0}|${s.ready}|${cores}|${gpus}|${memoryGb}|${[...s.images].join()}`;
-    let n = this.alikes.get(key);
-    if (n === undefined) this.alikes.set(key, (n = this.alikes.size));
-    return n;
+  private alikeOf(slot: Slot): number {
+    if (slot.changes.length > 0) return -1;
+    slot.likeness ??= likenessOf(slot);
+    // Machines that are up are all ready at once; the text itself is then the key, and is hashed once for many plans.
+    const key = slot.ready <= this.picture.now ? slot.likeness : `${slot.ready}|${slot.likeness}`;
+    let number = this.alikes.get(key);
+    if (number === undefined) this.alikes.set(key, (number = this.alikes.size));
+    return number;
   }
 
   /** Once, before anything is played out: floors found later would be those of some trial. */
@@ -462,25 +470,46 @@
   }
 
   /** Whether `wanted` tasks of the group have room at this moment. Looks only where there may be any. */
-  hasRoomNow(g: Group, zone: string | null, wanted: number): boolean {
-    const { spec } = g;
-    const { now } = this.picture;
-    const k = gpuKind(spec);
+  hasRoomNow(group: Group, zone: string | null, wanted: number): boolean {
+    return this.roomNow(group, zone, wanted) >= wanted;
+  }
+
+  /** How many of the group's tasks have room at this moment; counts up to `most`. */
+  roomNow(group: Group, zone: string | null, most: number): number {
+    const { spec } = group;
     let room = 0;
-    for (const p of this.pools.values()) {
-      if (!this.open(p, spec)) continue;
-      if (zone !== null && p.zone !== zone) continue;
-      const seats = p.byFloor[k];
-      const sorted = p.sorted[k];
-      for (let i = 0; i < seats.length && sorted[i]! <= now; i++) {
-        const seat = seats[i]!;
-        if (seat.floor[k] > now || seat.slot.machine === null) continue;
-        if (g.only !== null && !g.only.has(seat.slot.machine)) continue;
-        room += timesFits(spec, seat.slot.free);
-        if (room >= wanted) return true;
-      }
+    for (const pool of this.pools.values()) {
+      if (room >= most) break;
+      if (!this.open(pool, spec) || (zone !== null && pool.zone !== zone)) continue;
+      this.visitFree(pool, gpuKind(spec), (slot) => {
+        if (group.only === null || group.only.has(slot.machine!)) room += timesFits(spec, slot.free);
+        return room < most;
+      });
+    }
+    return room;
+  }
+
+  /** All that is free at this moment on machines that the group may use. */
+  freeNow(group: Group): Amounts {
+    const free = { cores: 0, gpus: 0, memoryGb: 0 };
+    for (const pool of this.pools.values())
+      if (this.open(pool, group.spec))
+        this.visitFree(pool, gpuKind(group.spec), (slot) => {
+          addTo(free, slot.free);
+          return true;
+        });
+    return free;
+  }
+
+  /** Machines of the pool on which some work of the plan has room now, for as long as `visit` wants more. */
+  private visitFree(pool: Pool, kind: 0 | 1, visit: (slot: Slot) => boolean): void {
+    const { now } = this.picture;
+    const seats = pool.byFloor[kind];
+    const sorted = pool.sorted[kind];
+    for (let i = 0; i < seats.length && sorted[i]! <= now; i++) {
+      const seat = seats[i]!;
+      if (seat.floor[kind] <= now && seat.slot.machine !== null && !visit(seat.slot)) return;
     }
-    return false;
   }
 
   /** Whether a machine could be rented for the group. */
--- /dev/null
+++ b/packages/core/src/leader/placement-commit.ts
@@ -0,0 +1,67 @@
+/** Carries out what a plan decided: checked once more against what is known now, then begun. */
+import type { Attempts } from '../attempts/attempts.js';
+import { fits, placeAllowed, takeFrom, type Amounts } from '../base/room.js';
+import { spreadLimit } from '../base/room.js';
+import type { Step } from '../decision/plan-input.js';
+import type { Term } from '../office/term.js';
+import type { ActiveJob, Machine } from '../picture/cluster.js';
+import type { Usage } from '../picture/teams.js';
+
+/** Steps by job, in their order. */
+export type StepsByJob = ReadonlyMap<ActiveJob, readonly Step[]>;
+
+export class PlacementCommit {
+  constructor(
+    private readonly term: Term,
+    private readonly attempts: Pick<Attempts, 'begin'>,
+  ) {}
+
+  /** Starts what begins now. A plan in several parts is older than what is known: nothing rests on its picture alone. */
+  startAll(stepsByJob: StepsByJob, planNow: number): void {
+    const usage = this.term.estate.usage();
+    for (const [job, steps] of stepsByJob) this.start(job, steps, planNow, usage);
+  }
+
+  private start(job: ActiveJob, steps: readonly Step[], planNow: number, usage: Usage): void {
+    if (!this.term.estate.startable(job)) return;
+    const startsNow = steps.filter((step) => step.start <= planNow && step.slot.machine !== null);
+    if (startsNow.length === 0) return;
+    if (job.spec.shape === 'gang' && startsNow.length !== steps.length) return;
+    const team = this.term.ctx.settings.teams.find((t) => t.name === job.spec.team);
+    const chosen = this.machinesFor(job, startsNow).slice(0, usage.room(job.spec, team));
+    if (chosen.length === 0) return;
+    const indices = job.takeWaiting(chosen.length);
+    if (job.spec.shape === 'gang' && indices.length !== job.spec.tasks) return;
+    usage.add(job.spec, indices.length);
+    this.attempts.begin(
+      job,
+      indices.map((index, k) => ({ index, machine: chosen[k]! })),
+    );
+  }
+
+  /** Where the tasks still have room, zone and kind allowed, one entry a task. */
+  private machinesFor(job: ActiveJob, steps: readonly Step[]): Machine[] {
+    const { spec } = job;
+    const chosen: Machine[] = [];
+    const free = new Map<Machine, Amounts>();
+    const zones = job.zones();
+    const zoneAllows = (zone: string): boolean => {
+      if (spec.sameZone && [...zones.keys()].some((other) => other !== zone)) return false;
+      return !spec.spread || (zones.get(zone) ?? 0) < spreadLimit(spec);
+    };
+    for (const step of steps) {
+      const machine = this.term.estate.machines.get(step.slot.machine!);
+      const type = this.term.ctx.types.get(step.slot.type.name);
+      if (machine === undefined || type === undefined || !machine.usable()) continue;
+      if (!placeAllowed(spec, machine.type, machine.zone, machine.spot)) continue;
+      const room = free.get(machine) ?? machine.freeOf(type);
+      free.set(machine, room);
+      for (let k = 0; k < step.count && fits(spec, room) && zoneAllows(machine.zone); k++) {
+        zones.set(machine.zone, (zones.get(machine.zone) ?? 0) + 1);
+        takeFrom(room, spec);
+        chosen.push(machine);
+      }
+    }
+    return chosen;
+  }
+}
--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -1,30 +1,34 @@
 /** Plans: which waiting work begins where now, by a search over the newest picture; only that is done. */
-import { stagesAhead } from '../decision/ahead.js';
 import type { Attempts } from '../attempts/attempts.js';
-import type { Group, Step } from '../decision/plan-input.js';
 import type { Clearing } from '../decision/clearing.js';
-import type { ActiveJob, Machine } from '../picture/cluster.js';
+import type { Imaging } from '../decision/imaging.js';
+import type { Ordering } from '../decision/ordering.js';
+import { PlacementSearch } from '../decision/search.js';
 import type { Dependencies } from '../jobs/dependencies.js';
-import { HANDOVER } from '../picture/estate.js';
 import type { Fleet } from '../machines/fleet.js';
-import type { Imaging } from '../decision/imaging.js';
 import { MILLI, SECOND, type Micros } from '../model.js';
-import type { Ordering } from '../decision/ordering.js';
-import { fits, placeAllowed, takeFrom } from '../base/room.js';
-import { search } from '../decision/search.js';
 import type { Term } from '../office/term.js';
+import { PlacementCommit } from './placement-commit.js';
+import { PlanClock, PlanRun } from './plan-run.js';
+import { WaitingGroups } from './waiting-groups.js';
 
-/** Tasks of one job that a play-out represents. */
-const MAX_REPRESENTED = 160;
 /** Plans pause for this many times what the last one took: users and workers must get through between. */
 const PLAN_PAUSE = 6;
+/** They come no faster than that, however little they take. */
+const LEAST_PAUSE = 80 * MILLI;
+/** Events that come together are planned for together. */
+const GATHER = 15 * MILLI;
 /** A new leader plans little while workers turn to it, until all but this share is known. */
 const REBUILD_SHARE = 0.1;
+/** Where nothing waits, room for arrivals is looked after no more often than that. */
+const IDLE_PASS = SECOND;
 const CHAINS_FRESH = 2 * SECOND;
 /** Plans are put off no longer while this node is behind with its answers. */
 const BEHIND_AT_MOST = 6 * SECOND;
-/** Tasks of one service, and services that come together, are planned for together. */
-const HURRY = 20 * MILLI;
+/** Tasks of one urgent job, and urgent jobs that come together, are planned for together. */
+const URGENT_GATHER = 20 * MILLI;
+/** Between two slices of a plan: what has come meanwhile is taken first. */
+const SLICE_PAUSE = MILLI;
 
 export interface PlannerParts {
   readonly ordering: Ordering;
@@ -40,8 +44,11 @@
 export class Planner {
   /** Machines that the last plan counts on. */
   needed: ReadonlySet<string> = new Set();
-  private planning = false;
-  private hurrying = false;
+  private readonly waitingGroups: WaitingGroups;
+  private readonly commit: PlacementCommit;
+  private current: PlanRun | null = null;
+  private passScheduled = false;
+  private urgentPassScheduled = false;
   /** Something changed while no plan could be made. */
   private again = false;
   private lastPlan: Micros = 0;
@@ -49,118 +56,59 @@
   private lastWhole: Micros = 0;
   /** What the last plan took: the next one waits a multiple of it, so that users' requests get through. */
   private planCost: Micros = 0;
+  /** The last plan's comparisons went past their budget. */
+  private comparisonsCutShort = false;
   private chainsAt: Micros = 0;
 
   constructor(
     private readonly term: Term,
     private readonly parts: PlannerParts,
-  ) {}
+  ) {
+    this.waitingGroups = new WaitingGroups(term, parts);
+    this.commit = new PlacementCommit(term, parts.attempts);
+  }
 
   /** A change came while a plan was under way, or none could be made yet. */
   get owes(): boolean {
     return this.again;
   }
 
-  soon(): void {
+  /** Plans for all that waits, once the pause after the last plan is over. */
+  schedulePass(): void {
     const { ctx } = this.term;
-    if (this.planning || !this.term.ready || this.term.stopped) {
+    if (this.passScheduled || !this.term.ready || this.term.stopped) {
       this.again = true;
       return;
     }
-    this.planning = true;
-    // Events that come together are planned for together.
-    const gap = Math.max(
-      15 * MILLI,
-      this.lastPlan + Math.max(80 * MILLI, PLAN_PAUSE * this.planCost) - ctx.now,
-    );
-    ctx.after(gap, () => {
-      this.planning = false;
+    this.passScheduled = true;
+    const pause = Math.max(LEAST_PAUSE, PLAN_PAUSE * this.planCost);
+    const delay = Math.max(GATHER, this.lastPlan + pause - ctx.now);
+    ctx.after(delay, () => {
+      this.passScheduled = false;
       this.again = false;
       if (!this.term.stopped) this.plan();
     });
   }
 
   /** Something came that must start at once: it does not wait for the pause after the last plan, which costs much more. */
-  hurry(): void {
-    if (this.hurrying) return;
-    this.hurrying = true;
-    this.term.after(HURRY, () => {
-      this.hurrying = false;
-      if (this.term.ready && this.term.mayStart() && this.term.ctx.types.size > 0) this.planOnce(true);
+  scheduleUrgentPass(): void {
+    if (this.urgentPassScheduled) return;
+    this.urgentPassScheduled = true;
+    this.term.after(URGENT_GATHER, () => {
+      this.planUrgent();
     });
   }
 
-  private groups(few: boolean): { groups: Group[]; jobs: Map<Group, ActiveJob> } {
-    const { ctx, estate } = this.term;
-    const { ordering } = this.parts;
-    const usage = estate.usage();
-    const jobs = new Map<Group, ActiveJob>();
-    const groups: Group[] = [];
-    const order = ordering.inOrder();
-    const lowest = order.reduce((least, j) => Math.min(least, j.priority), 3);
-    // Work with and without GPUs is limited apart: many waiting gangs must not keep arrays from the plan.
-    const taken = [0, 0];
-    for (const job of order) {
-      if (few && !this.parts.fleet.mustStartAtOnce(job.spec)) continue;
-      const spec = job.priority === job.spec.priority ? job.spec : { ...job.spec, priority: job.priority };
-      const kind = spec.gpus > 0 ? 1 : 0;
-      if (taken[kind]! >= ctx.settings.tuning.searchGroups) continue;
-      const team = ctx.settings.teams.find((t) => t.name === spec.team);
-      const room = usage.room(spec, team);
-      const want = Math.min(job.waiting, room, spec.shape === 'gang' ? Infinity : MAX_REPRESENTED);
-      if (want <= 0 || (spec.shape === 'gang' && want < spec.tasks)) continue;
-      usage.add(spec, want);
-      const promised = job.promisedUntil > ctx.now;
-      const group: Group = {
-        spec,
-        count: want,
-        zones: job.zones(),
-        avoid: new Set(job.failedOn.keys()),
-        credit: job.credit.get(-1) ?? 0,
-        margin: estate.marginOf(job),
-        patience: estate.patienceOf(job),
-        reserve: spec.priority > lowest || promised || ordering.hasTurn(job),
-        only: promised ? job.promisedOn : null,
-        phantom: false,
-        runs: new Map(),
-        dear: new Map(),
-      };
-      jobs.set(group, job);
-      groups.push(group);
-      taken[kind]!++;
+  private planUrgent(): void {
+    if (this.current !== null) {
+      // The plan under way is over within a fraction of a second.
+      this.term.after(URGENT_GATHER, () => {
+        this.planUrgent();
+      });
+      return;
     }
-    return { groups, jobs };
-  }
-
-  /** What the next stages will need while a machine could boot for them. */
-  private groupsAhead(): Group[] {
-    const { deps } = this.parts;
-    const { ctx, estate } = this.term;
-    if (deps.heldCount === 0) return [];
-    const { now } = ctx;
-    let boot = 0;
-    for (const t of ctx.types.values()) boot = Math.max(boot, t.bootUs);
-    const endOf = (job: ActiveJob): Micros => {
-      let left = job.waiting > 0 ? estate.expectedOf(job) : 0;
-      for (const a of job.live.values()) left = Math.max(left, estate.remaining(a));
-      return now + left + HANDOVER;
-    };
-    const ahead = stagesAhead(estate.jobs.values(), deps, (id) => estate.jobs.get(id), endOf, now + boot);
-    return ahead.map(({ job, ready }) => ({
-      spec: { ...job.spec, shape: 'array', sameZone: false, spread: false, priority: job.priority },
-      count: Math.min(job.spec.tasks, MAX_REPRESENTED),
-      zones: new Map(),
-      avoid: new Set(),
-      credit: 0,
-      margin: estate.marginOf(job),
-      patience: estate.patienceOf(job),
-      only: null,
-      reserve: false,
-      phantom: true,
-      notBefore: ready,
-      runs: new Map(),
-      dear: new Map(),
-    }));
+    this.urgentPassScheduled = false;
+    if (this.term.ready && this.term.mayStart() && this.term.ctx.types.size > 0) this.begin(true, null);
   }
 
   /**
@@ -172,10 +120,10 @@
     if (!this.term.accounting) return false;
     let all = 0;
     let unknown = 0;
-    for (const m of estate.machines.values()) {
-      if (m.recorded !== 'yes' || m.retiring !== null) continue;
+    for (const machine of estate.machines.values()) {
+      if (machine.recorded !== 'yes' || machine.retiring !== null) continue;
       all++;
-      if (m.unresolved) unknown++;
+      if (machine.unresolved) unknown++;
     }
     return unknown > REBUILD_SHARE * all;
   }
@@ -183,22 +131,34 @@
   private plan(): void {
     const { ctx } = this.term;
     if (ctx.types.size === 0) return;
+    if (this.current !== null) {
+      this.again = true;
+      return;
+    }
     // Owed until the right comes back: a plan rents, and stops some for others. And answers to those who turn to a new
     // leader come before its first plans: on a sixth of a core the starts of these once held up hundreds of workers
     // until their leases ran out. Only the few that must start at once do, where there is room on what is known.
     // So do they later: each plan brings starts and their reports with it, and a node that is behind loses its workers.
     const behind = this.parts.behind() && ctx.now < this.lastWhole + BEHIND_AT_MOST;
-    const few = this.rebuilding() || behind;
-    if (!this.term.mayStart() || (few && !this.urgentWaits())) {
+    const urgentOnly = this.rebuilding() || behind;
+    if (!this.term.mayStart() || (urgentOnly && !this.urgentWaits())) {
       this.again = true;
       return;
     }
-    const began = ctx.stopwatch();
-    this.planOnce(few);
-    this.again ||= few;
-    this.planCost = ctx.stopwatch() - began;
-    this.lastPlan = ctx.now;
-    if (!few) this.lastWhole = ctx.now;
+    if (ctx.now < this.lastWhole + IDLE_PASS && !this.anyWaits()) return;
+    this.begin(urgentOnly, (run) => {
+      this.again ||= urgentOnly;
+      this.planCost = run.clock.elapsed();
+      this.lastPlan = ctx.now;
+      if (!urgentOnly) this.lastWhole = ctx.now;
+    });
+  }
+
+  /** Whether any work could begin if there were room, or is about to. */
+  private anyWaits(): boolean {
+    if (this.parts.deps.heldCount > 0) return true;
+    for (const job of this.term.estate.jobs.values()) if (this.term.estate.startable(job)) return true;
+    return false;
   }
 
   private urgentWaits(): boolean {
@@ -208,90 +168,92 @@
     return false;
   }
 
-  /** `few`: only what must start at once, and nothing is stopped for it. */
-  private planOnce(few: boolean): void {
+  /** `finished`: told once the whole plan is carried out. */
+  private begin(urgentOnly: boolean, finished: ((run: PlanRun) => void) | null): void {
     const { ctx } = this.term;
-    const { deps, imaging, fleet, clearing } = this.parts;
-    const t0 = ctx.stopwatch();
+    const { deps, imaging, fleet } = this.parts;
+    const clock = new PlanClock(ctx.stopwatch);
     // Predictions change with what is learned.
     deps.refresh(ctx.now - this.chainsAt > CHAINS_FRESH);
     if (ctx.now - this.chainsAt > CHAINS_FRESH) this.chainsAt = ctx.now;
-    const { groups, jobs } = this.groups(few);
-    const t1 = ctx.stopwatch();
+    const waiting = this.waitingGroups.collect(urgentOnly);
+    const groupsUs = clock.elapsed();
+    const further = urgentOnly ? [] : [...fleet.kept(), ...fleet.headroom(), ...this.waitingGroups.ahead()];
     const { tuning } = ctx.settings;
-    const decision = search(
+    const search = new PlacementSearch(
       imaging.picture(fleet.rentable(), fleet.kinds()),
-      few ? groups : [...groups, ...fleet.kept(), ...fleet.headroom(), ...this.groupsAhead()],
+      [...waiting.groups, ...further],
+      waiting.overflow,
       {
         budgetUs: tuning.searchBudgetUs,
         width: tuning.searchWidth,
         depth: tuning.searchDepth,
         toleranceUs: tuning.searchToleranceUs,
+        skipWhenPlenty: this.comparisonsCutShort,
       },
-      ctx.stopwatch,
+      () => clock.elapsed() - groupsUs,
     );
-    const t2 = ctx.stopwatch();
-    const byJob = new Map<ActiveJob, Step[]>();
-    for (const s of decision.steps) {
-      const job = jobs.get(s.group);
-      if (job === undefined) continue;
-      const steps = byJob.get(job) ?? [];
-      steps.push(s);
-      byJob.set(job, steps);
+    const cost = { groupsUs, searchUs: clock.elapsed() - groupsUs, actUs: 0 };
+    this.current = new PlanRun(urgentOnly, waiting, ctx.now, clock, cost, search);
+    this.advance(this.current, finished);
+  }
+
+  /** A slice of a plan: what it decided is carried out at once, and the rest is gone on with a little later. */
+  private advance(run: PlanRun, finished: ((run: PlanRun) => void) | null): void {
+    if (!this.term.mayStart()) {
+      // The right or the state service is lost: what is decided by now is carried out by then, and no more of it.
+      this.abandon(run);
+      return;
     }
-    for (const [job, steps] of byJob) this.act(job, steps);
-    if (few) return;
-    clearing.preempt(byJob);
-    fleet.rentFor(decision);
-    this.needed = new Set(
-      decision.picture.slots.filter((s) => s.used && s.machine !== null).map((s) => s.machine!),
-    );
-    if (groups.length > 0)
-      ctx.debug('plan', {
-        groupsUs: t1 - t0,
-        searchUs: t2 - t1,
-        actUs: ctx.stopwatch() - t2,
-        groups: groups.length,
-        steps: decision.steps.length,
-        searched: decision.searched,
-        fellBack: decision.fellBack,
-        looks: decision.looks,
+    const done = run.advance();
+    const before = run.clock.elapsed();
+    this.commit.startAll(run.takeSteps(), run.now);
+    run.cost.actUs += run.clock.elapsed() - before;
+    if (!done) {
+      run.clock.pause();
+      this.term.after(SLICE_PAUSE, () => {
+        run.clock.resume();
+        this.advance(run, finished);
       });
+      return;
+    }
+    this.finish(run);
+    finished?.(run);
+  }
+
+  private abandon(run: PlanRun): void {
+    run.release();
+    this.current = null;
+    this.again = true;
   }
 
-  /** Starts what the plan starts now. Room, zone and kind are checked again against the newest picture. */
-  private act(job: ActiveJob, steps: readonly Step[]): void {
-    const { ctx, estate } = this.term;
-    const { now } = ctx;
-    if (job.held || job.barred !== null) return;
-    const startsNow = steps.filter((s) => s.start <= now && s.slot.machine !== null);
-    if (startsNow.length === 0) return;
-    if (job.spec.shape === 'gang' && startsNow.length !== steps.length) return;
-    const chosen: Machine[] = [];
-    const free = new Map<Machine, ReturnType<Machine['freeOf']>>();
-    const zones = job.zones();
-    for (const s of startsNow) {
-      const m = estate.machines.get(s.slot.machine!);
-      const type = ctx.types.get(s.slot.type.name);
-      if (m === undefined || type === undefined || !m.usable()) continue;
-      if (!placeAllowed(job.spec, m.type, m.zone, m.spot)) continue;
-      const room = free.get(m) ?? m.freeOf(type);
-      free.set(m, room);
-      for (let k = 0; k < s.count; k++) {
-        if (!fits(job.spec, room)) break;
-        if (job.spec.sameZone && [...zones.keys()].some((z) => z !== m.zone)) break;
-        if (job.spec.spread && (zones.get(m.zone) ?? 0) >= Math.ceil(job.spec.tasks / 2)) break;
-        zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
-        takeFrom(room, job.spec);
-        chosen.push(m);
-      }
+  private finish(run: PlanRun): void {
+    const { decision } = run;
+    if (!run.urgentOnly) {
+      const before = run.clock.elapsed();
+      this.parts.clearing.preempt(run.steps);
+      this.parts.fleet.rentFor(decision);
+      this.needed = run.neededMachines();
+      this.comparisonsCutShort = decision.fellBack || (this.comparisonsCutShort && decision.searched === 0);
+      run.cost.actUs += run.clock.elapsed() - before;
+      this.logPlan(run);
     }
-    if (chosen.length === 0) return;
-    const indices = job.takeWaiting(chosen.length);
-    if (job.spec.shape === 'gang' && indices.length !== job.spec.tasks) return;
-    this.parts.attempts.begin(
-      job,
-      indices.map((index, k) => ({ index, machine: chosen[k]! })),
-    );
+    run.release();
+    this.current = null;
+  }
+
+  private logPlan(run: PlanRun): void {
+    const { decision, waiting } = run;
+    if (waiting.groups.length === 0) return;
+    this.term.ctx.debug('plan', {
+      ...run.cost,
+      groups: waiting.groups.length,
+      overflow: decision.overflow,
+      steps: decision.steps.length,
+      searched: decision.searched,
+      fellBack: decision.fellBack,
+      looks: decision.looks,
+      slices: run.slices,
+    });
   }
 }
--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -71,7 +71,7 @@
     features: readonly Feature[],
   ) {
     const term = new Term(ctx, office, leadership, () => {
-      this.planner.soon();
+      this.planner.schedulePass();
     });
     this.term = term;
     const { estate } = term;
@@ -286,7 +286,7 @@
 
   /** What is known of the cloud changed. */
   changed(): void {
-    this.planner.soon();
+    this.planner.schedulePass();
   }
 
   onReport(r: Report): WorkerAnswer {
@@ -334,7 +334,7 @@
     });
     for (const job of jobs.values()) if (job.complete) this.completion.finish(job);
     this.fleet.start();
-    this.planner.soon();
+    this.planner.schedulePass();
   }
 
   private addJob(id: string, value: unknown, version: number, fresh: boolean): void {
@@ -356,9 +356,9 @@
       if (job.held) this.ctx.info('job.held', { job: id, for: this.deps.waitsFor(job) });
       else if (rec.spec.needs.length === 0 && job.barred === null) this.fleet.noteArrival(rec.spec);
       this.ctx.debug('job.seen', { job: id, class: rec.spec.class });
-      if (this.fleet.mustStartAtOnce(rec.spec)) this.planner.hurry();
+      if (this.fleet.mustStartAtOnce(rec.spec)) this.planner.scheduleUrgentPass();
     }
-    this.planner.soon();
+    this.planner.schedulePass();
   }
 
   // ---- what features hold back -------------------------------------------------------------------
@@ -385,7 +385,7 @@
       if (this.ctx.wallNow - job.at < FRESH) this.fleet.noteArrival(job.spec);
     }
     job.barred = hold;
-    this.planner.soon();
+    this.planner.schedulePass();
   }
 
   // ---- progress for display ----------------------------------------------------------------------
@@ -462,7 +462,7 @@
     });
     if (this.sweeps % 2 === 0) this.hold();
     if (this.sweeps % 60 === 0) this.saveTimings();
-    if (this.sweeps % 4 === 0 || this.planner.owes) this.planner.soon();
+    if (this.sweeps % 4 === 0 || this.planner.owes) this.planner.schedulePass();
     if (this.sweeps % 6 === 0 && entitled && estate.thrifty()) this.consolidation.consolidate();
     // Pages of the version before, or too large, are taken apart while nothing else waits to be written.
     if (this.writer.backlog < settings.txnOps) {
--- a/packages/core/src/picture/slot.ts
+++ b/packages/core/src/picture/slot.ts
@@ -14,13 +14,15 @@
   readonly zone: string;
   readonly spot: boolean;
   /** Costs the same whether it is used or not: it is never returned. */
-  readonly sunk: boolean;
+  sunk: boolean;
   /** Null for a machine that would have to be rented. */
   readonly machine: string | null;
-  readonly ready: Micros;
+  ready: Micros;
   /** Room at `ready`. */
   free: Readonly<Amounts>;
   changes: readonly Change[];
   images: ReadonlySet<string>;
   used: boolean;
+  /** Text that is equal for idle machines that are alike; made when it is first asked for. */
+  likeness?: string;
 }
--- a/packages/core/test/search.test.ts
+++ b/packages/core/test/search.test.ts
@@ -8,7 +8,9 @@
 import { PlacementSimulation } from '@shaleyoke/core/decision/simulation';
 import type { Slot } from '@shaleyoke/core/picture/slot';
 import { Clearings } from '@shaleyoke/core/decision/preemption';
-import { placeGroup, playOut, search } from '@shaleyoke/core/decision/search';
+import { placeGroup } from '@shaleyoke/core/decision/place-group';
+import { playOut } from '@shaleyoke/core/decision/play-out';
+import { search } from '@shaleyoke/core/decision/search';
 import { Timings } from '@shaleyoke/core/picture/timings';
 import { Random } from '@shaleyoke/emulator/random';
 import { specOf } from '@shaleyoke/emulator/specs';
