--- a/packages/core/src/decision/ordering.ts
+++ b/packages/core/src/decision/ordering.ts
@@ -1,5 +1,5 @@
 /** The order in which waiting jobs are looked at: turns first, then priority and the aims that can be met. */
-import { mergeOrders, orderByAims, type AimOrder, type Contender } from '../picture/aims.js';
+import { mergeOrders, mustStartAtOnce, orderByAims, type AimOrder, type Contender } from '../picture/aims.js';
 import type { Context } from '../base/context.js';
 import type { Estate } from '../picture/estate.js';
 import type { ActiveJob } from '../picture/cluster.js';
@@ -27,9 +27,8 @@
       [...this.estate.jobs.values()].filter((j) => this.estate.startable(j)),
       this.ctx.settings.teams,
     );
-    const first = this.dueTurns(waiting);
-    for (const j of waiting) if (j.promisedUntil > this.ctx.now && !first.includes(j)) first.push(j);
-    const rest = waiting.filter((j) => !first.includes(j));
+    const first = this.aheadOfAims(waiting);
+    const rest = waiting.filter((job) => !first.has(job));
     const levels = new Map<string, ActiveJob[]>();
     for (const j of rest) {
       const key = `${j.priority}|${j.spec.gpus > 0 ? 'gpu' : 'cpu'}`;
@@ -48,6 +47,16 @@
     return [...first, ...ordered];
   }
 
+  /** What goes before the order by aims: urgent work, then turns, then jobs that room is being made for. */
+  private aheadOfAims(waiting: readonly ActiveJob[]): Set<ActiveJob> {
+    const { objectives } = this.ctx.settings;
+    // With hundreds of teams there is always a turn due: what can't wait for it comes before all of them.
+    const first = new Set(waiting.filter((job) => mustStartAtOnce(job.spec, objectives)));
+    for (const job of this.dueTurns(waiting)) first.add(job);
+    for (const job of waiting) if (job.promisedUntil > this.ctx.now) first.add(job);
+    return first;
+  }
+
   private dueTurns(waiting: readonly ActiveJob[]): ActiveJob[] {
     const { tuning } = this.ctx.settings;
     const { now } = this.ctx;
@@ -59,10 +68,11 @@
         oldest.set(j.spec.team, j);
     }
     const out: ActiveJob[] = [];
+    const stillWaiting = new Set(waiting);
     for (const [team, job] of oldest) {
       const t = this.turns.get(team) ?? { job: null, since: now, next: now + tuning.turnEveryUs };
       this.turns.set(team, t);
-      if (t.job !== null && !waiting.includes(t.job)) {
+      if (t.job !== null && !stillWaiting.has(t.job)) {
         // It started, or ended: the turn is over.
         t.job = null;
         t.next = now + tuning.turnEveryUs;
--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -5,6 +5,7 @@
 import { SECOND } from '../model.js';
 import type { Group, Rentable } from '../decision/plan-input.js';
 import type { Decision } from '../decision/search.js';
+import { allowedWait, mustStartAtOnce } from '../picture/aims.js';
 import { typeAllowed } from '../base/room.js';
 import type { Standing } from './standing.js';
 
@@ -14,6 +15,16 @@
   inFlight: boolean;
 }
 
+/** Jobs of a class that came lately. */
+interface Arrivals {
+  readonly at: Micros[];
+  /** The largest of them. */
+  spec: JobSpec;
+  /** Tasks of one job, as a moving mean. */
+  tasks: number;
+  readonly since: Micros;
+}
+
 /** What the fleet needs of the scheduler. */
 export interface FleetHost {
   readonly term: number;
@@ -40,8 +51,6 @@
 const FIRST_LIST_WAIT: Micros = 3 * SECOND;
 /** Where capacity isn't saved, idle machines are kept this many times as long. */
 const UNTHRIFTY_PATIENCE = 6;
-/** Who must start within that can't wait for the next tasks to end. */
-const AT_ONCE: Micros = 10 * SECOND;
 /** Window over which arrivals are counted. */
 const WINDOW: Micros = 150 * SECOND;
 
@@ -49,10 +58,7 @@
 
 export class Fleet {
   private readonly offers = new Map<string, Offer>();
-  private readonly arrivals = new Map<
-    string,
-    { at: Micros[]; spec: JobSpec; tasks: number; since: Micros }
-  >();
+  private readonly arrivals = new Map<string, Arrivals>();
   private bookings = 0;
   private firstList = true;
   private began: Micros = 0;
@@ -108,8 +114,8 @@
   headroom(): Group[] {
     const out: Group[] = [];
     for (const [cls, a] of this.arrivals) {
-      const within = this.waitOf(cls);
-      if (within === null || a.spec.shape === 'service') continue;
+      const within = allowedWait(cls, this.ctx.settings.objectives);
+      if (within === null || a.spec.shape === 'service' || this.mustStartAtOnce(a.spec)) continue;
       let boot: Micros | null = null;
       for (const t of this.ctx.types.values())
         if (typeAllowed(a.spec, t)) boot = boot === null ? t.bootUs : Math.min(boot, t.bootUs);
@@ -128,31 +134,29 @@
   }
 
   /**
-   * Room kept free for services that must start sooner than tasks end that others would put there. What ends gives room again
-   * all the time, so the largest job that came lately is enough. Without it such a service trickled in: a third of those
+   * Room kept free for work that must start sooner than tasks end that others would put there. What ends gives room again
+   * all the time, so the largest job that came lately is enough, or as many as come within the time they may wait. Without it such a service trickled in: a third of those
    * that came to full machines had tasks waiting for longer than their aim (adresy-pomorze steady).
    */
   kept(): Group[] {
     const out: Group[] = [];
     for (const a of this.arrivals.values()) {
       if ((a.at.at(-1) ?? -Infinity) < this.ctx.now - WINDOW || !this.mustStartAtOnce(a.spec)) continue;
-      out.push({ ...this.roomFor(a.spec, a.spec.tasks), kept: true });
+      out.push({ ...this.roomFor(a.spec, this.tasksToKeepRoomFor(a)), kept: true });
     }
     return out;
   }
 
-  /** Services that can't wait for the next tasks to end. */
-  mustStartAtOnce(spec: JobSpec): boolean {
-    return spec.shape === 'service' && (this.waitOf(spec.class) ?? Infinity) < AT_ONCE;
+  /** Tasks of a class that come within the time that they may wait, and those of its largest job at least. */
+  private tasksToKeepRoomFor({ at, spec, tasks }: Arrivals): number {
+    const span = Math.max(SECOND, this.ctx.now - (at[0] ?? this.ctx.now));
+    const within = allowedWait(spec.class, this.ctx.settings.objectives) ?? 0;
+    return Math.max(spec.tasks, Math.ceil((tasks * at.length * within) / span));
   }
 
-  /** The shortest wait that an aim allows the class. */
-  private waitOf(cls: string): Micros | null {
-    let within: Micros | null = null;
-    for (const o of this.ctx.settings.objectives)
-      if (o.kind === 'wait' && o.class === cls && o.withinUs !== null)
-        within = within === null ? o.withinUs : Math.min(within, o.withinUs);
-    return within;
+  /** Work that can't wait for the next tasks to end. */
+  mustStartAtOnce(spec: JobSpec): boolean {
+    return mustStartAtOnce(spec, this.ctx.settings.objectives);
   }
 
   private roomFor(spec: JobSpec, count: number): Group {
--- a/packages/core/src/picture/aims.ts
+++ b/packages/core/src/picture/aims.ts
@@ -3,7 +3,7 @@
  * 11.2): here it follows the operators' objectives, so that few jobs miss the next one that they can meet.
  */
 import { dueOf, type ActiveJob } from './cluster.js';
-import type { Micros, Objective } from '../model.js';
+import { SECOND, type JobSpec, type Micros, type Objective } from '../model.js';
 
 /**
  * Latest start that still meets the earliest aim within reach, from now; null when no aim is. `due_s` counts
@@ -34,6 +34,22 @@
   return best;
 };
 
+/** Who must start within that can't wait for the next tasks to end. */
+const AT_ONCE: Micros = 10 * SECOND;
+
+/** The shortest wait that an aim allows the class; null: none speaks of it. */
+export const allowedWait = (cls: string, objectives: readonly Objective[]): Micros | null => {
+  let within: Micros | null = null;
+  for (const o of objectives)
+    if (o.kind === 'wait' && o.class === cls && o.withinUs !== null)
+      within = within === null ? o.withinUs : Math.min(within, o.withinUs);
+  return within;
+};
+
+/** Urgent work: it can't wait for the next tasks to end. */
+export const mustStartAtOnce = (spec: JobSpec, objectives: readonly Objective[]): boolean =>
+  (allowedWait(spec.class, objectives) ?? Infinity) < AT_ONCE;
+
 export interface Contender {
   readonly job: ActiveJob;
   /** Microseconds from now; null: no aim can be met any more. */
--- a/packages/emulator/tools/scale.ts
+++ b/packages/emulator/tools/scale.ts
@@ -13,7 +13,7 @@
 const MOST_MACHINES = 20_000;
 const MOST_BURST_TASKS = 40_000;
 /** Tasks of a burst for each machine, where the command line does not say. */
-const BURST_PER_MACHINE = 3;
+const BURST_PER_MACHINE = 1.5;
 
 const wholeNumber =
   (name: string, most: number) =>
@@ -72,7 +72,7 @@
 
 const slopes = (options: SlopesOptions): void => {
   const sizes = options.machines.map((machines) => {
-    const burstTasks = options.burst ?? BURST_PER_MACHINE * machines;
+    const burstTasks = options.burst ?? Math.round(BURST_PER_MACHINE * machines);
     console.error(`${machines} machines, ${burstTasks} tasks`);
     return measureSize({ machines, burstTasks, seed: options.seed });
   });
