--- a/packages/core/src/leader/plan-run.ts
+++ b/packages/core/src/leader/plan-run.ts
@@ -65,10 +65,11 @@
 
   /** Decides until the slice is over: whether everything is decided. */
   advance(): boolean {
-    this.slices++;
     const began = this.clock.elapsed();
+    // The first one has made the picture already.
+    const end = (this.slices++ === 0 ? 0 : began) + SLICE;
     let done = false;
-    while (!done && this.clock.elapsed() - began < SLICE) done = this.iterator.next().done === true;
+    while (!done && this.clock.elapsed() < end) done = this.iterator.next().done === true;
     this.cost.searchUs += this.clock.elapsed() - began;
     return done;
   }
