--- a/packages/emulator/src/loopback-http.ts
+++ b/packages/emulator/src/loopback-http.ts
@@ -51,6 +51,13 @@
     });
   });
 
+/** Ports of loopback that were free a moment ago. */
+export const freePorts = async (count: number): Promise<number[]> => {
+  const held = await Promise.all(Array.from({ length: count }, () => serve('127.0.0.1:0', () => undefined)));
+  for (const server of held) server.close();
+  return held.map((server) => Number(server.address.slice(server.address.lastIndexOf(':') + 1)));
+};
+
 /** Null: no answer within the time. */
 export const call = (
   address: string,
@@ -58,6 +65,8 @@
   path: string,
   body: Buffer | null,
   timeoutMs: number,
+  /** Connections of the caller's own; null: those that the process shares. */
+  agent: http.Agent | null = null,
 ): Promise<Answer | null> =>
   new Promise((resolve) => {
     const cut = address.lastIndexOf(':');
@@ -68,6 +77,7 @@
         method,
         path,
         timeout: timeoutMs,
+        ...(agent === null ? {} : { agent }),
         headers:
           body === null ? {} : { 'Content-Length': body.length, 'Content-Type': 'application/msgpack' },
       },
--- a/packages/emulator/src/loopback-workers.ts
+++ b/packages/emulator/src/loopback-workers.ts
@@ -26,6 +26,10 @@
   readonly leaseUs: Micros;
   /** All workers, for gangs to find each other. */
   readonly workers: ReadonlyMap<string, LoopWorker>;
+  /** An order to start a task was executed. */
+  started?(job: string, index: number): void;
+  /** A worker's lease ran out, and all of its tasks with it. */
+  leaseEnded?(machine: string): void;
   /** A task ran on a machine from its beginning to now. */
   ran(job: string, index: number, machine: string, us: Micros, done: boolean): void;
   call(address: string, path: string, body: Buffer): Promise<{ status: number; body: Buffer } | null>;
@@ -60,9 +64,9 @@
     return this.server?.address ?? '';
   }
 
-  /** Comes up: listens for orders, and begins to report. */
-  async boot(): Promise<void> {
-    const server = await serve('127.0.0.1:0', (r, reply) => {
+  /** Comes up: listens for orders on `listen` (IP:PORT), and begins to report. */
+  async boot(listen = '127.0.0.1:0'): Promise<void> {
+    const server = await serve(listen, (r, reply) => {
       if (r.url === '/inspect') {
         reply({ status: 200, body: encodeReport(this.report()) });
         return;
@@ -141,6 +145,7 @@
   private step(): void {
     const now = this.world.now();
     if (now > this.answered + this.world.leaseUs) {
+      this.world.leaseEnded?.(this.name);
       for (const t of this.tasks) this.note(t, false);
       this.tasks = [];
       this.session++;
@@ -240,7 +245,10 @@
         : this.world.spec(o.job) === undefined
           ? 'unknown'
           : null;
-    if (refused === null) this.tasks = this.tasks.filter((x) => x !== t);
+    if (refused === null) {
+      this.tasks = this.tasks.filter((x) => x !== t);
+      this.world.started?.(o.job, o.index);
+    }
     this.tasks.push({
       job: o.job,
       index: o.index,
--- a/packages/emulator/src/loopback.ts
+++ b/packages/emulator/src/loopback.ts
@@ -11,7 +11,8 @@
 import { SECOND } from '@shaleyoke/core/model';
 import { readActive } from '@shaleyoke/core/base/records';
 import { asFields, decodeBody } from '@shaleyoke/protocol/body';
-import { call, serve, type Served } from './loopback-http.js';
+import { controllerSettings } from './controller-settings.js';
+import { call, freePorts, serve, type Served } from './loopback-http.js';
 import { LoopWorker, type WorkerWorld } from './loopback-workers.js';
 import { StateModel } from './state-model.js';
 import { cloudOpOf, encodeCloudReply, encodeStateReply, encodeSubmission, stateOpOf } from './wire.js';
@@ -60,6 +61,10 @@
 
 const REPORT_S = 2;
 const LEASE_S = 12;
+const CANCEL_S = 30;
+const STATE_RPS = 300;
+const STATE_WRITE_RPS = 80;
+const CLOUD_RPS = 6;
 const CALL_MS = 4_000;
 const USER_MS = 5_000;
 
@@ -106,7 +111,7 @@
       reply(encodeCloudReply(this.cloud(cloudOpOf(r.method, r.url, r.body))));
     });
     this.servers.push(state, cloud);
-    const ports = await this.freePorts(3 * this.o.nodes);
+    const ports = await freePorts(3 * this.o.nodes);
     const members = Array.from({ length: this.o.nodes }, (_, i) => ({
       member: `dock-${i}`,
       listen: `127.0.0.1:${ports[3 * i]}`,
@@ -114,20 +119,24 @@
       kube: ports[3 * i + 2]!,
     }));
     for (const m of members) {
-      const peers = members
-        .filter((p) => p !== m)
-        .map((p) => `[[peers]]\nmember = "${p.member}"\nsite = "zone-a"\naddress = "${p.peer}"\n`);
-      const teams = this.o.teams.map((t) => `[[cluster.teams]]\nname = "${t}"\n`);
       const config = join(this.folder, `${m.member}.toml`);
-      writeFileSync(
-        config,
-        `member = "${m.member}"\nsite = "zone-a"\nlisten = "${m.listen}"\ncluster_listen = "${m.peer}"\n` +
-          `${peers.join('')}[endpoints]\ncloud = "${cloud.address}"\nstate = "${state.address}"\n` +
-          `[cluster]\ninitial_size = ${this.o.nodes}\n${teams.join('')}` +
-          `[cluster.workers]\nreport_s = ${REPORT_S}.0\nlease_s = ${LEASE_S}.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 30.0\n` +
-          '[cluster.state]\nrps = 300.0\nwrite_rps = 80.0\nvalue_kb = 16.0\ntxn_ops = 16\n' +
-          '[cluster.cloud]\nrps = 6.0\nlist_lag_s = 1.0\n',
-      );
+      const peers = members.filter((p) => p !== m).map((p) => ({ member: p.member, address: p.peer }));
+      const settings = controllerSettings({
+        member: m.member,
+        listen: m.listen,
+        peerListen: m.peer,
+        peers,
+        cloud: cloud.address,
+        state: state.address,
+        teams: this.o.teams,
+        reportS: REPORT_S,
+        leaseS: LEASE_S,
+        cancelS: CANCEL_S,
+        stateRps: STATE_RPS,
+        stateWriteRps: STATE_WRITE_RPS,
+        cloudRps: CLOUD_RPS,
+      });
+      writeFileSync(config, settings);
       const text = this.o.kube?.(m.kube);
       if (text !== undefined) writeFileSync(this.kubeFile(m.member), text);
       const kube = text === undefined ? '' : `127.0.0.1:${m.kube}`;
@@ -145,14 +154,6 @@
     return join(this.folder, `${member}-kube.yaml`);
   }
 
-  private async freePorts(count: number): Promise<number[]> {
-    const held = await Promise.all(
-      Array.from({ length: count }, () => serve('127.0.0.1:0', () => undefined)),
-    );
-    for (const s of held) s.close();
-    return held.map((s) => Number(s.address.slice(s.address.lastIndexOf(':') + 1)));
-  }
-
   private launch(n: NodeProcess): void {
     const [program, ...first] = this.o.program;
     const args = [...first, 'serve', '--config', n.config];
--- a/packages/emulator/tools/scale.ts
+++ b/packages/emulator/tools/scale.ts
@@ -2,14 +2,23 @@
  * Measures how the costs of control grow with the size of a deployment. Machines, cloud and state service are emulated.
  *
  *     npx tsx packages/emulator/tools/scale.ts slopes --machines 300,1000,3000 --out slopes.json
+ *     npx tsx packages/emulator/tools/scale.ts hollow --workers 1000 --starts 200 --out hollow.json
  */
 import { accessSync, constants, writeFileSync } from 'node:fs';
+import { totalmem } from 'node:os';
 import { dirname, resolve } from 'node:path';
 import { Command, InvalidArgumentError } from 'commander';
+import { runHollow } from '../src/scale/hollow.js';
 import { fitLine } from '../src/scale/statistics.js';
 import { measureSize, type SizeReport } from '../src/scale/slopes.js';
 
 const EXIT_USAGE = 2;
+const CONTROLLER = [
+  process.execPath,
+  '--import',
+  'tsx',
+  new URL('../../shaleyoke/src/main.ts', import.meta.url).pathname,
+];
 const MOST_MACHINES = 20_000;
 const MOST_BURST_TASKS = 40_000;
 /** Tasks of a burst for each machine, where the command line does not say. */
@@ -92,6 +101,59 @@
   }
 };
 
+interface HollowCommandOptions {
+  readonly workers: number;
+  readonly controllers: number;
+  readonly processes: number;
+  readonly seconds: number;
+  readonly starts: number;
+  readonly taskS: number;
+  readonly reportS: number;
+  readonly leaseS: number;
+  readonly writeRps: number;
+  readonly killLeaderAt?: number;
+  readonly heapMb: number;
+  readonly out?: string;
+}
+
+/** What a hollow worker takes, measured; and what a process takes besides. */
+const WORKER_MB = 0.1;
+const PROCESS_MB = 120;
+
+const expectedMemoryMb = (o: HollowCommandOptions): number =>
+  o.workers * WORKER_MB + o.processes * PROCESS_MB + o.controllers * (PROCESS_MB + o.heapMb);
+
+const hollow = async (o: HollowCommandOptions): Promise<void> => {
+  const needed = expectedMemoryMb(o);
+  const most = totalmem() / 2 ** 20 / 2;
+  if (needed > most) {
+    const text = `needs up to ${Math.round(needed)} MB, over half of the machine's memory`;
+    console.error(`error: ${text}: fewer --workers, --controllers or a smaller --heap-mb`);
+    process.exit(EXIT_USAGE);
+  }
+  const report = await runHollow({
+    workers: o.workers,
+    controllers: o.controllers,
+    processes: Math.min(o.processes, o.workers),
+    seconds: o.seconds,
+    startsPerSecond: o.starts,
+    taskSeconds: o.taskS,
+    reportSeconds: o.reportS,
+    leaseSeconds: o.leaseS,
+    stateWriteRps: o.writeRps,
+    killLeaderAt: o.killLeaderAt ?? null,
+    heapMb: o.heapMb,
+    program: CONTROLLER,
+  });
+  const { usage, ...rest } = report;
+  console.log(JSON.stringify(rest, null, 1));
+  console.log('role | core | memory MB | sockets');
+  for (const u of usage)
+    console.log(`${u.role} | ${u.coreShare.toFixed(3)} | ${u.memoryMb.toFixed(0)} | ${u.sockets}`);
+  if (o.out !== undefined) writeFileSync(o.out, `${JSON.stringify(report, null, 1)}\n`);
+  if (report.endedByThemselves.length > 0 || report.settledS === null) process.exitCode = 1;
+};
+
 const program = new Command('scale').exitOverride((e) => {
   process.exit(e.exitCode === 0 ? 0 : EXIT_USAGE);
 });
@@ -108,4 +170,20 @@
   .option('--seed <number>', 'seed of the emulated world', wholeNumber('--seed', 2 ** 31), 1)
   .option('--out <file>', 'where the result goes as JSON', writableFile)
   .action(slopes);
-program.parse();
+program
+  .command('hollow')
+  .description('real controllers on loopback, with hollow workers, cloud and state service')
+  .option('--workers <count>', 'workers', wholeNumber('--workers', MOST_MACHINES), 100)
+  .option('--controllers <count>', 'controller processes', wholeNumber('--controllers', 9), 7)
+  .option('--processes <count>', 'processes that share the workers', wholeNumber('--processes', 100), 4)
+  .option('--seconds <count>', 'how long work comes', wholeNumber('--seconds', 600), 30)
+  .option('--starts <rate>', 'task starts a second that are asked for', wholeNumber('--starts', 20_000), 50)
+  .option('--task-s <seconds>', 'run time of a task', wholeNumber('--task-s', 600), 10)
+  .option('--report-s <seconds>', "workers' interval of reports", wholeNumber('--report-s', 60), 3)
+  .option('--lease-s <seconds>', "workers' lease", wholeNumber('--lease-s', 600), 30)
+  .option('--write-rps <rate>', 'puts a second of the state service', wholeNumber('--write-rps', 100_000), 25)
+  .option('--kill-leader-at <seconds>', 'kills the leader then', wholeNumber('--kill-leader-at', 600))
+  .option('--heap-mb <megabytes>', 'heap of a controller', wholeNumber('--heap-mb', 4_096), 512)
+  .option('--out <file>', 'where the result goes as JSON', writableFile)
+  .action(hollow);
+await program.parseAsync();
