--- /dev/null
+++ b/packages/core/test/cluster-totals.test.ts
@@ -0,0 +1,214 @@
+/** What is kept up as machines change equals a full count, in generated histories. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec, MachineType, Priority } from '@shaleyoke/core/model';
+import { SECOND } from '@shaleyoke/core/model';
+import { ActiveJob, attemptKey, Machine, type Attempt } from '@shaleyoke/core/picture/cluster';
+import { ClusterTotals } from '@shaleyoke/core/picture/cluster-totals';
+import type { Estate } from '@shaleyoke/core/picture/estate';
+import { MachineRegistry } from '@shaleyoke/core/picture/machine-registry';
+import { Usage } from '@shaleyoke/core/picture/teams';
+import { FIRST_BOUNDS, FIRST_LIST, play } from '@shaleyoke/emulator/meetings';
+import { Random } from '@shaleyoke/emulator/random';
+import { TYPE } from '@shaleyoke/emulator/site';
+import { specOf } from '@shaleyoke/emulator/specs';
+import { World } from '@shaleyoke/emulator/world';
+
+const TYPES = new Map<string, MachineType>([
+  ['box', { ...TYPE, cores: 8 }],
+  ['gpu', { ...TYPE, name: 'gpu', cores: 8, gpus: 4 }],
+]);
+const TEAMS = ['a', 'b', 'c'];
+const PROBES = TEAMS.map((team) => specOf(`probe-${team}`, { team, cores: 0.1, gpus: 0.5 }));
+
+/** All machines and attempts, one after the other, as plans once did. */
+const fullCount = (
+  machines: Iterable<Machine>,
+): { usage: Usage; use: Map<string, number>; lowest: number } => {
+  const usage = new Usage();
+  const use = new Map<string, number>();
+  let lowest = 3;
+  for (const machine of machines) {
+    let unproven = false;
+    for (const { job, proven } of machine.attempts.values()) {
+      const { team, cores } = job.spec;
+      use.set(team, (use.get(team) ?? 0) + cores);
+      lowest = Math.min(lowest, job.priority);
+      if (proven) usage.add(job.spec, 1);
+      else unproven = true;
+    }
+    if (machine.unresolved || machine.strangers > 0 || unproven)
+      usage.doubt(TYPES.get(machine.type) ?? null, machine);
+  }
+  return { usage, use, lowest };
+};
+
+/** Room by kind of work, from each machine by itself. */
+const fullRoom = (
+  machines: Iterable<Machine>,
+  gpu: boolean,
+  priority: number,
+  coresEach: number,
+): { total: number; free: number } => {
+  let total = 0;
+  let free = 0;
+  for (const machine of machines) {
+    const type = TYPES.get(machine.type)!;
+    if (machine.retiring !== null || (gpu && type.gpus === 0)) continue;
+    const left = machine.freeOf(type);
+    let [cores, gpus, lower] = [0, 0, 0];
+    for (const { job } of machine.attempts.values()) {
+      if (job.priority < priority) lower += gpu ? job.spec.gpus : job.spec.cores;
+      else if (gpu && (job.priority > priority || job.spec.gpus === 0)) {
+        cores += job.spec.cores;
+        gpus += job.spec.gpus;
+      }
+    }
+    total += gpu ? Math.min(type.gpus - gpus, Math.max(0, type.cores - cores) / coresEach) : type.cores;
+    if (!machine.up) continue;
+    free += Math.max(0, gpu ? Math.min(left.gpus, left.cores / coresEach) : left.cores) + lower;
+  }
+  return { total, free };
+};
+
+const near = (actual: number, expected: number, what: string): void => {
+  assert.ok(Math.abs(actual - expected) < 1e-6, `${what}: ${actual}, counted ${expected}`);
+};
+
+const compare = (totals: ClusterTotals, machines: ReadonlyMap<string, Machine>, what: string): void => {
+  const counted = fullCount(machines.values());
+  const usage = totals.usage();
+  const limit = { name: 't', cores: 0, gpus: 0, coresMax: 60, gpusMax: 30 };
+  for (const probe of PROBES)
+    assert.equal(
+      usage.room(probe, limit),
+      counted.usage.room(probe, limit),
+      `${what}: room of ${probe.team}`,
+    );
+  const use = totals.teamUse();
+  for (const team of TEAMS)
+    near(use.get(team)?.cores ?? 0, counted.use.get(team) ?? 0, `${what}: cores of ${team}`);
+  assert.equal(totals.lowestRunning(), counted.lowest, `${what}: lowest running`);
+  assert.equal(
+    totals.anyStanding,
+    [...machines.values()].some((m) => m.standing),
+    `${what}: standing`,
+  );
+  for (const gpu of [false, true])
+    for (const priority of [0, 1, 2, 3] as const) {
+      const kept = totals.room(gpu, priority, 2);
+      const full = fullRoom(machines.values(), gpu, priority, 2);
+      near(kept.total, full.total, `${what}: total of priority ${priority}`);
+      near(kept.free, full.free, `${what}: free for priority ${priority}`);
+    }
+};
+
+test('sums over machines equal a full count, whatever changes', () => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const random = new Random(seed);
+    const machines = new MachineRegistry();
+    const totals = new ClusterTotals(machines, () => TYPES);
+    machines.observer = totals;
+    const jobs = Array.from({ length: 8 }, (_, i) => {
+      const spec: Partial<JobSpec> = {
+        team: TEAMS[i % TEAMS.length]!,
+        priority: random.below(4) as Priority,
+        cores: [0.1, 0.7, 1, 2][random.below(4)]!,
+        gpus: [0, 0, 0.5, 1][random.below(4)]!,
+      };
+      return new ActiveJob(specOf(`run-${i}`, spec), 1, 0, 0);
+    });
+    const any = (): Machine | undefined => [...machines.values()][random.below(Math.max(1, machines.size))];
+    const begin = (machine: Machine): void => {
+      const job = jobs[random.below(jobs.length)]!;
+      const index = random.below(1_000);
+      const attempt: Attempt = {
+        job,
+        index,
+        no: 1,
+        machine,
+        session: 1,
+        state: 'running',
+        token: 0,
+        orderedAt: 0,
+        runningAt: 0,
+        timed: true,
+        proven: random.chance(0.8),
+        stopping: null,
+      };
+      job.live.set(index, attempt);
+      machine.attempts.set(attemptKey(job.id, index), attempt);
+      machine.touch();
+    };
+    const end = (machine: Machine): void => {
+      const first = [...machine.attempts][0];
+      if (first === undefined) return;
+      machine.attempts.delete(first[0]);
+      first[1].job.live.delete(first[1].index);
+      machine.touch();
+    };
+    const changes: ((machine: Machine) => void)[] = [
+      begin,
+      begin,
+      end,
+      (m) => (m.up = !m.up),
+      (m) => (m.unresolved = random.chance(0.3)),
+      (m) => (m.strangers = random.below(2)),
+      (m) => (m.standing = random.chance(0.5)),
+      (m) => (m.retiring = random.chance(0.2) ? 'idle' : null),
+      () => (jobs[random.below(jobs.length)]!.priority = random.below(4) as Priority),
+      (m) => {
+        for (const attempt of m.attempts.values()) attempt.proven = true;
+        m.notifyObserver();
+      },
+      (m) => machines.delete(m.name),
+    ];
+    for (let step = 0; step < 200; step++) {
+      if (machines.size < 6 && random.chance(0.5)) {
+        const name = `m-${random.below(12)}`;
+        machines.set(name, new Machine(name, '', random.chance(0.5) ? 'box' : 'gpu', 'a', false, 0));
+      }
+      const machine = any();
+      if (machine !== undefined) changes[random.below(changes.length)]!(machine);
+      if (random.chance(0.4)) compare(totals, machines, `seed ${seed}, step ${step}`);
+    }
+    compare(totals, machines, `seed ${seed}, at the end`);
+  }
+});
+
+interface Inside {
+  readonly scheduler: { readonly term: { readonly estate: Estate } } | null;
+}
+
+/** Compares what the leader of a world keeps up with what it has. */
+const compareLeader = (world: World): boolean => {
+  const core = world.nodes[world.leader()]?.core as unknown as Inside | undefined;
+  const estate = core?.scheduler?.term.estate;
+  if (estate === undefined) return false;
+  const use = new Map<string, number>();
+  for (const machine of estate.machines.values())
+    for (const { job } of machine.attempts.values())
+      use.set(job.spec.team, (use.get(job.spec.team) ?? 0) + job.spec.cores);
+  near(estate.totals.teamUse().get('t')?.cores ?? 0, use.get('t') ?? 0, `at ${world.now}`);
+  return true;
+};
+
+test("a leader's sums equal a full count at every moment of meetings of troubles", () => {
+  let looks = 0;
+  for (const [i, meeting] of Object.values(FIRST_LIST).entries())
+    play(
+      300 + i,
+      [
+        (scene) => {
+          for (let s = 1; s < 20; s++)
+            scene.w.later(s * SECOND, () => {
+              if (compareLeader(scene.w)) looks++;
+            });
+          meeting(scene);
+        },
+      ],
+      2,
+      FIRST_BOUNDS,
+    );
+  assert.ok(looks > 100, `${looks} comparisons`);
+});
--- a/packages/emulator/src/meetings.ts
+++ b/packages/emulator/src/meetings.ts
@@ -7,7 +7,7 @@
 import { Random } from './random.js';
 import { specOf } from './specs.js';
 import { LeftWaiting } from './waiting.js';
-import { World } from './world.js';
+import { World, type CoreOptions } from './world.js';
 import type { Worker } from './workers-model.js';
 
 export interface Scene {
@@ -432,7 +432,13 @@
 export const SECOND_BOUNDS: Bounds = { calm: 130 * SECOND, last: 600 * SECOND };
 
 /** Plays these meetings one after the other, each begun while the last may still go on, and then a long calm. */
-export const play = (seed: number, meetings: readonly Meeting[], rounds: number, bounds: Bounds): Outcome => {
+export const play = (
+  seed: number,
+  meetings: readonly Meeting[],
+  rounds: number,
+  bounds: Bounds,
+  coreOptions: CoreOptions = {},
+): Outcome => {
   const r = new Random(seed * 49_999 + 23);
   const w = new World(
     r,
@@ -440,6 +446,11 @@
     `[[cluster.teams]]\nname = "t"\ncpus_max = ${CORES}.0\n`,
     CORES,
     5,
+    '',
+    () => [],
+    0,
+    null,
+    coreOptions,
   );
   if (seed % 2 === 0) w.membership = { beatUs: SECOND, suspectBeats: 3 };
   const counts = new Map<string, number>();
--- a/packages/emulator/src/site.ts
+++ b/packages/emulator/src/site.ts
@@ -9,6 +9,8 @@
   teams: string,
   next = '',
   membership: Membership | null = null,
+  /** The operators' own settings (YAML); null: all defaults. */
+  operators: string | null = null,
 ): Settings => {
   const peers = all
     .filter((m) => m !== member)
@@ -20,7 +22,7 @@
 [cluster.workers]\nreport_s = 3.0\nlease_s = 20.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 40.0
 [cluster.state]\nrps = 100.0\nwrite_rps = 50.0\nvalue_kb = 16.0\ntxn_ops = 16\n${next === '' ? '' : `[cluster.state.next]\n${next}\n`}
 [cluster.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n`,
-    null,
+    operators,
     membership,
   );
 };
--- a/packages/emulator/src/world.ts
+++ b/packages/emulator/src/world.ts
@@ -54,6 +54,13 @@
 const ORDERS_PATIENCE: Micros = 2500 * MILLI;
 const REFUSED = { kind: 'failed', executed: false, cause: 'refused', reason: '503' } as const;
 
+export interface CoreOptions {
+  /** The operators' own settings (YAML). */
+  readonly operators?: string;
+  /** What bounds the time of a plan; else that of the meter, or one that stands still. */
+  readonly stopwatch?: () => Micros;
+}
+
 export class World {
   readonly broken: string[] = [];
   readonly nodes: SimNode[];
@@ -131,6 +138,8 @@
     public wallStart: Micros = 0,
     /** Whether controllers send beats; read at each start of a process. */
     public membership: Membership | null = null,
+    /** How the controllers' core is set up; read at each start of a process. */
+    readonly coreOptions: CoreOptions = {},
   ) {
     const { time } = this;
     const broke = (what: string): void => {
@@ -221,8 +230,9 @@
         this.teams,
         this.next,
         this.membership,
+        this.coreOptions.operators ?? null,
       ),
-      () => this.meter?.stopwatch() ?? 0,
+      this.coreOptions.stopwatch ?? (() => this.meter?.stopwatch() ?? 0),
       true,
       this.features(),
     );
