--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -149,8 +149,8 @@
     this.begin(urgentOnly, (run) => {
       this.again ||= urgentOnly;
       this.planCost = run.clock.elapsed();
-      this.lastPlan = ctx.now;
-      if (!urgentOnly) this.lastWhole = ctx.now;
+      this.lastPlan = run.now;
+      if (!urgentOnly) this.lastWhole = run.now;
     });
   }
 
@@ -179,9 +179,11 @@
     const waiting = this.waitingGroups.collect(urgentOnly);
     const groupsUs = clock.elapsed();
     const further = urgentOnly ? [] : [...fleet.kept(), ...fleet.headroom(), ...this.waitingGroups.ahead()];
+    const picture = imaging.picture(fleet.rentable(), fleet.kinds());
     const { tuning } = ctx.settings;
+    const pictureUs = clock.elapsed();
     const search = new PlacementSearch(
-      imaging.picture(fleet.rentable(), fleet.kinds()),
+      picture,
       [...waiting.groups, ...further],
       waiting.overflow,
       {
@@ -191,7 +193,7 @@
         toleranceUs: tuning.searchToleranceUs,
         skipWhenPlenty: this.comparisonsCutShort,
       },
-      () => clock.elapsed() - groupsUs,
+      () => clock.elapsed() - pictureUs,
     );
     const cost = { groupsUs, searchUs: clock.elapsed() - groupsUs, actUs: 0 };
     this.current = new PlanRun(urgentOnly, waiting, ctx.now, clock, cost, search);
