--- a/packages/emulator/tools/scale.ts
+++ b/packages/emulator/tools/scale.ts
@@ -4,10 +4,13 @@
  *     npx tsx packages/emulator/tools/scale.ts slopes --machines 300,1000,3000 --out slopes.json
  *     npx tsx packages/emulator/tools/scale.ts hollow --workers 1000 --starts 200 --out hollow.json
  */
-import { accessSync, constants, writeFileSync } from 'node:fs';
+import { spawnSync } from 'node:child_process';
+import { accessSync, constants, readFileSync, writeFileSync } from 'node:fs';
 import { totalmem } from 'node:os';
 import { dirname, resolve } from 'node:path';
 import { Command, InvalidArgumentError } from 'commander';
+import { capacityRows, capacityTable, withTable, type Stored } from '../src/scale/capacity.js';
+import { readMeasurements } from '../src/scale/stored.js';
 import { runHollow } from '../src/scale/hollow.js';
 import { fitLine } from '../src/scale/statistics.js';
 import { measureSize, type SizeReport } from '../src/scale/slopes.js';
@@ -49,6 +52,18 @@
   return file;
 };
 
+/** With the command, commit and time that it came of. */
+const store = (file: string, result: unknown): void => {
+  const git = spawnSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' });
+  const stored: Stored<unknown> = {
+    command: `scale ${process.argv.slice(2).join(' ')}`,
+    commit: git.status === 0 ? git.stdout.trim() : 'unknown',
+    at: new Date().toISOString(),
+    result,
+  };
+  writeFileSync(file, `${JSON.stringify(stored, null, 1)}\n`);
+};
+
 const columns: readonly (readonly [string, (r: SizeReport) => string])[] = [
   ['machines', (r) => String(r.machines)],
   ['tasks', (r) => String(r.burst.tasks)],
@@ -94,7 +109,7 @@
     takeoverCoreS: over((r) => r.takeover.coreS),
   };
   printTable(sizes);
-  if (options.out !== undefined) writeFileSync(options.out, `${JSON.stringify({ sizes, fits }, null, 1)}\n`);
+  if (options.out !== undefined) store(options.out, { sizes, fits });
   if (sizes.some((r) => r.brokenRules.length > 0)) {
     console.error('rules broken:', sizes.flatMap((r) => r.brokenRules).join('; '));
     process.exitCode = 1;
@@ -150,7 +165,7 @@
   console.log('role | core | memory MB | sockets');
   for (const u of usage)
     console.log(`${u.role} | ${u.coreShare.toFixed(3)} | ${u.memoryMb.toFixed(0)} | ${u.sockets}`);
-  if (o.out !== undefined) writeFileSync(o.out, `${JSON.stringify(report, null, 1)}\n`);
+  if (o.out !== undefined) store(o.out, report);
   if (report.endedByThemselves.length > 0 || report.settledS === null) process.exitCode = 1;
 };
 
@@ -170,6 +185,15 @@
   .option('--seed <number>', 'seed of the emulated world', wholeNumber('--seed', 2 ** 31), 1)
   .option('--out <file>', 'where the result goes as JSON', writableFile)
   .action(slopes);
+program
+  .command('capacity')
+  .description('makes the table of a page anew from stored results')
+  .argument('<page>', 'a Markdown file with the marks of a table')
+  .argument('<folder>', 'slopes.json and hollow-*.json')
+  .action((page: string, folder: string) => {
+    const measurements = readMeasurements(folder);
+    writeFileSync(page, withTable(readFileSync(page, 'utf8'), capacityTable(capacityRows(measurements))));
+  });
 program
   .command('hollow')
   .description('real controllers on loopback, with hollow workers, cloud and state service')
