--- a/packages/core/src/decision/overflow.ts
+++ b/packages/core/src/decision/overflow.ts
@@ -70,25 +70,48 @@
   return [];
 };
 
+export interface OverflowTime {
+  /** Whether there is time to look for room now. */
+  readonly forStarts: () => boolean;
+  /** Whether there is time to look for what to rent. */
+  readonly forRenting: () => boolean;
+}
+
+/** Tasks of one job that machines are rented for in one plan. */
+const MAX_RENTED_FOR = 160;
+
+/**
+ * What can't begin now is placed later, on machines that boot or that would be rented: else nothing beyond the groups that
+ * are compared would ever be rented for. Nothing is started by that.
+ */
+const placeLater = (simulation: PlacementSimulation, group: Group, count: number): void => {
+  if (group.spec.shape === 'gang') placeGroup(simulation, group);
+  else placeGroup(simulation, { ...group, count: Math.min(count, MAX_RENTED_FOR) });
+};
+
+const countOf = (steps: readonly Step[]): number => steps.reduce((sum, step) => sum + step.count, 0);
+
 /** The steps of each group that begins now, in the given order, for as long as there is time. */
 export function* placeOverflow(
   simulation: PlacementSimulation,
   groups: Iterable<Group>,
-  hasTime: () => boolean,
+  time: OverflowTime,
 ): Generator<readonly Step[]> {
   /** The fewest tasks at once for which a kind found no room. */
   const noRoomFor = new Map<string, number>();
   for (const group of groups) {
-    if (!hasTime()) return;
+    if (!time.forStarts()) return;
     const kind = kindOf(group);
     const atOnce = group.spec.shape === 'gang' ? group.count : 1;
-    const steps = atOnce >= (noRoomFor.get(kind) ?? Infinity) ? [] : placeNow(simulation, group);
+    const known = noRoomFor.get(kind) ?? Infinity;
+    const steps = atOnce >= known ? [] : placeNow(simulation, group);
     if (steps.length === 0) {
-      if (isUnbound(group) && !group.spec.sameZone)
-        noRoomFor.set(kind, Math.min(atOnce, noRoomFor.get(kind) ?? Infinity));
+      if (isUnbound(group) && !group.spec.sameZone) noRoomFor.set(kind, Math.min(atOnce, known));
       // What it is entitled to first is not given to lower priorities meanwhile.
       if (group.reserve) simulation.keepFor(group);
     }
+    const left = group.count - countOf(steps);
+    if (left > 0 && time.forRenting() && simulation.mayRent(group)) placeLater(simulation, group, left);
     yield steps;
   }
 }
--- a/packages/core/src/decision/search.ts
+++ b/packages/core/src/decision/search.ts
@@ -17,6 +17,9 @@
 /** After the budget, so much longer may go into placing what can't begin now: a plan has to end. */
 const PLACING: Micros = 80_000;
 
+/** And so much into what machines are to be rented for beyond the groups that are compared. */
+const RENTING: Micros = 40_000;
+
 export interface SearchLimits {
   readonly budgetUs: Micros;
   readonly width: number;
@@ -99,7 +102,10 @@
       this.keepRoom(kept);
       yield* this.place(left.filter((g) => g.spec.priority < urgent));
     }
-    const overflow = placeOverflow(this.simulation, this.overflow.groups, this.timeFor(2 * PLACING));
+    const overflow = placeOverflow(this.simulation, this.overflow.groups, {
+      forStarts: this.timeFor(2 * PLACING),
+      forRenting: this.timeFor(RENTING),
+    });
     for (const steps of overflow) {
       this.steps.push(...steps);
       this.overflowPlaced++;
