--- a/packages/core/src/leader/scheduler.ts
+++ b/packages/core/src/leader/scheduler.ts
@@ -16,12 +16,14 @@
 import { Imaging } from '../decision/imaging.js';
 import { idOfActive, JOBS, MACHINES, PLACES, PROGRESS, ROSTER, TIMINGS, TYPES } from '../base/keys.js';
 import type { Leadership, Office } from '../office/leadership.js';
-import type { Item, MachineType, Micros, ProgressNote, Report, WorkerAnswer } from '../model.js';
+import type { Item, MachineType, Micros, Report, WorkerAnswer } from '../model.js';
 import { MILLI, SECOND } from '../model.js';
 import { Ordering } from '../decision/ordering.js';
 import { pageRoom } from '../records/pages.js';
 import { Park } from '../machines/park.js';
+import { logClusterSummary } from './cluster-summary.js';
 import { Planner } from './planner.js';
+import { ProgressPublisher } from './progress-publisher.js';
 import { Features, type Feature } from '../ports.js';
 import { Fitness } from './fitness.js';
 import { ProgressBook } from '../records/progress.js';
@@ -57,7 +59,7 @@
   private readonly cascade: Cascade;
   private readonly endings: Endings;
   private readonly features: Features;
-  private readonly told = new Map<string, string>();
+  private readonly progressPublisher: ProgressPublisher;
   private readonly fitness = new Fitness();
   private sweeps = 0;
   private lastFlush: Micros = 0;
@@ -172,7 +174,7 @@
       forget: (job) => {
         if (estate.jobs.get(job.id) !== job) return;
         estate.jobs.delete(job.id);
-        this.told.delete(job.id);
+        this.progressPublisher.forget(job.id);
         this.features.tell((f) => {
           f.closed(job);
         });
@@ -206,6 +208,7 @@
         this.completion.confirm(job);
       },
     });
+    this.progressPublisher = new ProgressPublisher(term, desk);
     this.planner = new Planner(term, {
       ordering: new Ordering(estate),
       imaging: new Imaging(estate),
@@ -271,7 +274,7 @@
     this.leadership.onRenewed = () => {
       this.fitness.renewed(this.ctx.now, !this.term.accounting);
     };
-    this.tell();
+    this.progressPublisher.publish(true);
     this.sweepLater();
   }
 
@@ -388,33 +391,6 @@
     this.planner.schedulePass();
   }
 
-  // ---- progress for display ----------------------------------------------------------------------
-
-  /** Counts for display, to the other nodes and to this one's desk. */
-  private tell(): void {
-    // Who was deposed and doesn't know it would else be taken for the leader by those who know less.
-    if (!this.term.entitled()) return;
-    const notes: ProgressNote[] = [];
-    for (const job of this.term.estate.jobs.values()) {
-      if (job.phase === 'ended' || job.held) continue;
-      const note = { id: job.id, done: job.done.count, running: job.running() };
-      const text = `${note.done}/${note.running}`;
-      if (this.told.get(job.id) === text && this.sweeps % 10 !== 0) continue;
-      this.told.set(job.id, text);
-      notes.push(note);
-      if (notes.length >= 1_000) break;
-    }
-    // Sent without counts too: it tells the others who leads, also those who can't ask the state service.
-    const message = {
-      kind: 'progress',
-      member: this.ctx.settings.member,
-      term: this.term.no,
-      notes,
-    } as const;
-    this.desk.noteProgress(message);
-    for (const p of this.ctx.settings.peers) this.ctx.emit({ kind: 'peer', member: p.member, message });
-  }
-
   // ---- the sweep ---------------------------------------------------------------------------------
 
   private sweepLater(): void {
@@ -433,7 +409,7 @@
     this.takeover?.keepFresh();
     const entitled = this.term.entitled();
     this.silence.noteRight(entitled);
-    if (this.sweeps % 2 === 0) this.tell();
+    if (this.sweeps % 2 === 0) this.progressPublisher.publish(this.sweeps % 10 === 0);
     if (this.leadership.blind && this.mayResign()) {
       this.leadership.resign(HOLD_OFF, 'hears nothing of cancellations');
       return;
@@ -473,7 +449,7 @@
       this.roster.tidy();
       this.progress.tidy();
     }
-    if (this.sweeps % 20 === 0) this.summarise();
+    if (this.sweeps % 20 === 0) logClusterSummary(this.term);
   }
 
   /**
@@ -499,36 +475,6 @@
     );
   }
 
-  /** For operators: where room is, and who waits for it. */
-  private summarise(): void {
-    if (!this.ctx.verbose) return;
-    const { machines, jobs } = this.term.estate;
-    const fleet: Record<string, { up: number; booting: number; cores: number; gpus: number; tasks: number }> =
-      {};
-    for (const m of machines.values()) {
-      const key = `${m.type}/${m.zone}${m.spot ? '/spot' : ''}`;
-      const f = (fleet[key] ??= { up: 0, booting: 0, cores: 0, gpus: 0, tasks: 0 });
-      const type = this.ctx.types.get(m.type);
-      if (type === undefined) continue;
-      if (!m.up) f.booting++;
-      else {
-        f.up++;
-        const free = m.freeOf(type);
-        f.cores += Math.round(free.cores);
-        f.gpus += Math.round(free.gpus);
-        f.tasks += m.attempts.size;
-      }
-    }
-    const waiting: Record<string, { jobs: number; tasks: number }> = {};
-    for (const j of jobs.values()) {
-      if (j.phase !== 'active' || j.held || j.waiting <= 0) continue;
-      const w = (waiting[j.spec.class] ??= { jobs: 0, tasks: 0 });
-      w.jobs++;
-      w.tasks += j.waiting;
-    }
-    this.ctx.debug('summary', { fleet, waiting });
-  }
-
   /** Types are kept in the state service for nodes that start while the cloud is out. */
   saveTypes(types: readonly MachineType[]): void {
     // Some of them would be worse than none: jobs would be told that they fit nowhere.
