--- a/packages/core/src/leader/plan-run.ts
+++ b/packages/core/src/leader/plan-run.ts
@@ -7,7 +7,7 @@
 import type { Waiting } from './waiting-groups.js';
 
 /** A slice ends with the first of its decisions after that: what waits behind it is answered within a few of these. */
-const SLICE: Micros = 40 * MILLI;
+const SLICE: Micros = 30 * MILLI;
 
 /** Processor time of a plan's parts, in microseconds. */
 export interface PlanCost {
