--- a/packages/core/src/machines/fleet.ts
+++ b/packages/core/src/machines/fleet.ts
@@ -151,7 +151,8 @@
   private tasksToKeepRoomFor({ at, spec, tasks }: Arrivals): number {
     const span = Math.max(SECOND, this.ctx.now - (at[0] ?? this.ctx.now));
     const within = allowedWait(spec.class, this.ctx.settings.objectives) ?? 0;
-    return Math.max(spec.tasks, Math.ceil((tasks * at.length * within) / span));
+    // One arrival alone tells of no rate.
+    return Math.max(spec.tasks, Math.ceil((tasks * (at.length - 1) * within) / span));
   }
 
   /** Work that can't wait for the next tasks to end. */
--- a/packages/core/test/ordering.test.ts
+++ b/packages/core/test/ordering.test.ts
@@ -4,6 +4,7 @@
 import { Context } from '@shaleyoke/core/base/context';
 import { Ordering } from '@shaleyoke/core/decision/ordering';
 import { ActiveJob, attemptKey, Machine, type Attempt } from '@shaleyoke/core/picture/cluster';
+import { Fleet, type FleetHost } from '@shaleyoke/core/machines/fleet';
 import { Estate } from '@shaleyoke/core/picture/estate';
 import { SECOND, type JobSpec, type MachineType } from '@shaleyoke/core/model';
 import { specOf } from '@shaleyoke/emulator/specs';
@@ -99,3 +100,47 @@
     ['small', 'large'],
   );
 });
+
+const URGENT = { kind: 'wait', class: 'urgent', withinUs: 1.6 * SECOND, share: 0.99, times: 1 };
+const TEAMS = Array.from({ length: 20 }, (_, i) => `team-${i}`);
+
+test('urgent work of any shape comes before the turns of many teams', () => {
+  const teams = TEAMS.map((name) => `[[cluster.teams]]\nname = "${name}"\n`).join('');
+  const ctx = new Context({ ...settingsFor('n0', ['n0'], teams), objectives: [URGENT] }, () => 0);
+  const estate = new Estate(ctx);
+  for (const team of TEAMS) add(estate, `old-${team}`, { team });
+  const urgent = { class: 'urgent', team: TEAMS[7]!, priority: 1 } as const;
+  add(estate, 'urgent-array', urgent);
+  add(estate, 'urgent-gang', { ...urgent, shape: 'gang' });
+  const ordering = new Ordering(estate);
+  ordering.inOrder();
+  // A turn is due for each team now.
+  ctx.now += 13 * SECOND;
+  const order = ordering.inOrder();
+  const turns = order.filter((job) => ordering.hasTurn(job));
+  assert.equal(turns.length, TEAMS.length);
+  assert.deepEqual(
+    order
+      .slice(0, 2)
+      .map((job) => job.id)
+      .sort(),
+    ['urgent-array', 'urgent-gang'],
+  );
+});
+
+test('room is kept for as much urgent work as comes within the time that it may wait', () => {
+  const settings = settingsFor('n0', ['n0'], '');
+  const ctx = new Context({ ...settings, objectives: [URGENT] }, () => 0);
+  const fleet = new Fleet(ctx, { thrifty: () => false } as FleetHost);
+  const spec = specOf('run-1', { class: 'urgent', tasks: 4 });
+  fleet.noteArrival(spec);
+  assert.equal(fleet.kept()[0]?.count, 4, 'one job: its own tasks');
+  // Twenty jobs of four tasks a second.
+  for (let i = 0; i < 60; i++) {
+    ctx.now += 50_000;
+    fleet.noteArrival(spec);
+  }
+  const kept = fleet.kept()[0]!.count;
+  assert.ok(kept >= 125 && kept <= 140, `${kept} tasks of 128`);
+  assert.equal(fleet.headroom().length, 0, 'and none of it twice');
+});
--- /dev/null
+++ b/packages/emulator/src/loopback-stand-ins.ts
@@ -0,0 +1,22 @@
+/** State service and cloud of the protocol on loopback, in this process. */
+import type { CloudOp, CloudReply } from '@shaleyoke/core/model';
+import { serve, type Served } from './loopback-http.js';
+import type { StateModel } from './state-model.js';
+import { cloudOpOf, encodeCloudReply, encodeStateReply, stateOpOf } from './wire.js';
+
+/** `asked`: told of each request. */
+export const serveState = (state: StateModel, asked: () => void = () => undefined): Promise<Served> =>
+  serve('127.0.0.1:0', (request, reply) => {
+    asked();
+    const op = stateOpOf(request.method, request.url, request.body);
+    if (op.kind === 'watch')
+      state.watch(op, (answer) => {
+        reply(encodeStateReply(op, answer));
+      });
+    else reply(encodeStateReply(op, state.apply(op)));
+  });
+
+export const serveCloud = (answer: (op: CloudOp) => CloudReply): Promise<Served> =>
+  serve('127.0.0.1:0', (request, reply) => {
+    reply(encodeCloudReply(answer(cloudOpOf(request.method, request.url, request.body))));
+  });
--- a/packages/emulator/src/loopback.ts
+++ b/packages/emulator/src/loopback.ts
@@ -12,10 +12,11 @@
 import { readActive } from '@shaleyoke/core/base/records';
 import { asFields, decodeBody } from '@shaleyoke/protocol/body';
 import { controllerSettings } from './controller-settings.js';
-import { call, freePorts, serve, type Served } from './loopback-http.js';
+import { call, freePorts, type Served } from './loopback-http.js';
+import { serveCloud, serveState } from './loopback-stand-ins.js';
 import { LoopWorker, type WorkerWorld } from './loopback-workers.js';
 import { StateModel } from './state-model.js';
-import { cloudOpOf, encodeCloudReply, encodeStateReply, encodeSubmission, stateOpOf } from './wire.js';
+import { encodeSubmission } from './wire.js';
 
 export interface LoopbackOptions {
   /** The program and its first arguments, up to `serve`. */
@@ -99,17 +100,8 @@
 
   /** Starts the servers, then the controllers. */
   async start(): Promise<void> {
-    const state = await serve('127.0.0.1:0', (r, reply) => {
-      const op = stateOpOf(r.method, r.url, r.body);
-      if (op.kind === 'watch')
-        this.state.watch(op, (a) => {
-          reply(encodeStateReply(op, a));
-        });
-      else reply(encodeStateReply(op, this.state.apply(op)));
-    });
-    const cloud = await serve('127.0.0.1:0', (r, reply) => {
-      reply(encodeCloudReply(this.cloud(cloudOpOf(r.method, r.url, r.body))));
-    });
+    const state = await serveState(this.state);
+    const cloud = await serveCloud((op) => this.cloud(op));
     this.servers.push(state, cloud);
     const ports = await freePorts(3 * this.o.nodes);
     const members = Array.from({ length: this.o.nodes }, (_, i) => ({
--- a/packages/emulator/src/scale/hollow.ts
+++ b/packages/emulator/src/scale/hollow.ts
@@ -9,10 +9,11 @@
 import type { CloudOp, CloudReply, Micros } from '@shaleyoke/core/model';
 import { MILLI, SECOND } from '@shaleyoke/core/model';
 import { controllerSettings } from '../controller-settings.js';
-import { call, freePorts, serve, type Served } from '../loopback-http.js';
+import { call, freePorts, type Served } from '../loopback-http.js';
+import { serveCloud, serveState } from '../loopback-stand-ins.js';
 import { specOf } from '../specs.js';
 import { StateModel } from '../state-model.js';
-import { cloudOpOf, encodeCloudReply, encodeStateReply, encodeSubmission, stateOpOf } from '../wire.js';
+import { encodeSubmission } from '../wire.js';
 import {
   addressOf,
   HOLLOW_TYPE,
@@ -136,18 +137,10 @@
   // ---- what the controllers talk to ----------------------------------------------------------------
 
   private async startStandIns(): Promise<{ state: string; cloud: string }> {
-    const state = await serve('127.0.0.1:0', (request, reply) => {
+    const state = await serveState(this.state, () => {
       this.stateRequests++;
-      const op = stateOpOf(request.method, request.url, request.body);
-      if (op.kind === 'watch')
-        this.state.watch(op, (answer) => {
-          reply(encodeStateReply(op, answer));
-        });
-      else reply(encodeStateReply(op, this.state.apply(op)));
-    });
-    const cloud = await serve('127.0.0.1:0', (request, reply) => {
-      reply(encodeCloudReply(this.cloud(cloudOpOf(request.method, request.url, request.body))));
     });
+    const cloud = await serveCloud((op) => this.cloud(op));
     this.servers.push(state, cloud);
     return { state: state.address, cloud: cloud.address };
   }
