--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -207,20 +207,31 @@
       this.abandon(run);
       return;
     }
+    try {
+      if (this.decideAndStart(run)) {
+        this.finish(run);
+        finished?.(run);
+        return;
+      }
+    } catch (e) {
+      // No later plan would begin while this one seems to be under way.
+      this.abandon(run);
+      throw e;
+    }
+    run.clock.pause();
+    this.term.after(SLICE_PAUSE, () => {
+      run.clock.resume();
+      this.advance(run, finished);
+    });
+  }
+
+  /** Whether everything is decided. */
+  private decideAndStart(run: PlanRun): boolean {
     const done = run.advance();
     const before = run.clock.elapsed();
     this.commit.startAll(run.takeSteps(), run.now);
     run.cost.actUs += run.clock.elapsed() - before;
-    if (!done) {
-      run.clock.pause();
-      this.term.after(SLICE_PAUSE, () => {
-        run.clock.resume();
-        this.advance(run, finished);
-      });
-      return;
-    }
-    this.finish(run);
-    finished?.(run);
+    return done;
   }
 
   private abandon(run: PlanRun): void {
--- a/packages/core/test/bulk-starts.test.ts
+++ b/packages/core/test/bulk-starts.test.ts
@@ -25,7 +25,7 @@
 /** Below what the machines have, so that the quota is reached in the middle of a plan. */
 const QUOTA = 140;
 
-const worldOf = (seed: number): World => {
+const worldOf = (seed: number, coreOptions: CoreOptions = sliced()): World => {
   const world = new World(
     new Random(seed),
     3,
@@ -36,7 +36,7 @@
     () => [],
     0,
     null,
-    sliced(),
+    coreOptions,
   );
   world.stand(MACHINES);
   world.runFor(4 * SECOND);
@@ -168,6 +168,29 @@
     }
   });
 
+test('a plan that fails in its middle does not keep later ones from being made', () => {
+  const { operators, stopwatch } = sliced();
+  let calls = 0;
+  let failures = 0;
+  const failing = (): number => {
+    calls++;
+    if (calls > 30 && failures < 3 && calls % 7 === 0) {
+      failures++;
+      throw new Error('made to fail');
+    }
+    return stopwatch!();
+  };
+  const world = worldOf(5, { operators: operators!, stopwatch: failing });
+  submitAll(world);
+  world.runFor(8 * SECOND);
+  assert.equal(failures, 3);
+  // What was made to fail is logged as an error, and nothing else is wrong.
+  const others = world.broken.filter((what) => !what.includes('made to fail'));
+  world.broken.length = 0;
+  assert.deepEqual(others, []);
+  playToEnd(world, 'after failures');
+});
+
 const MEETINGS = [
   ...Object.entries(FIRST_LIST).map(([name, meeting]) => ({ name, meeting, bounds: FIRST_BOUNDS })),
   ...Object.entries(SECOND_LIST).map(([name, meeting]) => ({ name, meeting, bounds: SECOND_BOUNDS })),
