--- a/packages/emulator/tools/mutants.ts
+++ b/packages/emulator/tools/mutants.ts
@@ -185,10 +185,36 @@
     from: "const sooner = a.job.phase !== 'active' && graceUs === 0",
     to: "const sooner = a.job.phase !== 'active' && graceUs < 0",
   },
+  {
+    name: 'a slice of a plan starts what may not start any more',
+    file: 'leader/placement-commit.ts',
+    from: 'if (!this.term.estate.startable(job)) return;',
+    to: '',
+  },
+  {
+    name: 'a slice of a plan takes room that is not there any more',
+    file: 'leader/placement-commit.ts',
+    from: 'if (machine === undefined || type === undefined || !machine.usable()) continue;',
+    to: 'if (machine === undefined || type === undefined) continue;',
+  },
+  {
+    name: 'use by team misses what changed',
+    file: 'picture/cluster-totals.ts',
+    from: 'this.changedMachines.add(machine);',
+    to: 'if (!this.counted.has(machine)) this.changedMachines.add(machine);',
+  },
+  {
+    name: 'a plan that fails stays under way',
+    file: 'leader/planner.ts',
+    from: '      this.abandon(run);\n      throw e;',
+    to: '      throw e;',
+  },
 ];
 
 /** The quickest to notice first; a mutant is through once one fails. */
 const TESTS = [
+  'cluster-totals',
+  'bulk-starts',
   'kept-reports',
   'close-looks',
   'second-meetings',
