--- a/packages/emulator/test/scale.test.ts
+++ b/packages/emulator/test/scale.test.ts
@@ -26,6 +26,7 @@
     ],
     [['hollow', '--colour', 'red'], /unknown option/],
     [['sleep'], /unknown command/],
+    [['capacity', 'docs/CAPACITY.md', '/no/such/folder'], /error: .*\/no\/such\/folder/],
   ];
   for (const [args, says] of wrong) {
     const { code, out } = await scale(...args);
--- a/packages/emulator/tools/scale.ts
+++ b/packages/emulator/tools/scale.ts
@@ -191,8 +191,13 @@
   .argument('<page>', 'a Markdown file with the marks of a table')
   .argument('<folder>', 'slopes.json and hollow-*.json')
   .action((page: string, folder: string) => {
-    const measurements = readMeasurements(folder);
-    writeFileSync(page, withTable(readFileSync(page, 'utf8'), capacityTable(capacityRows(measurements))));
+    try {
+      const table = capacityTable(capacityRows(readMeasurements(folder)));
+      writeFileSync(page, withTable(readFileSync(page, 'utf8'), table));
+    } catch (e) {
+      console.error(`error: ${(e as Error).message}`);
+      process.exitCode = EXIT_USAGE;
+    }
   });
 program
   .command('hollow')
