--- a/packages/core/src/decision/overflow.ts
+++ b/packages/core/src/decision/overflow.ts
@@ -5,21 +5,9 @@
  */
 import { beginsNow } from './first-options.js';
 import { bestOptions, placeGroup, zoneChoices, zoneRoom } from './place-group.js';
-import type { Group, Option, Step } from './plan-input.js';
+import { taskKind, type Group, type Option, type Step } from './plan-input.js';
 import type { PlacementSimulation } from './simulation.js';
 
-/** What decides where a task may go, where nothing about its job's other tasks does. */
-const kindOf = ({ spec }: Group): string =>
-  [
-    spec.priority,
-    spec.cores,
-    spec.gpus,
-    spec.memoryGb,
-    spec.zone ?? '*',
-    spec.spot,
-    spec.types?.join('+') ?? '*',
-  ].join('|');
-
 const isUnbound = ({ spec, zones, only }: Group): boolean =>
   only === null && (zones.size === 0 || !(spec.sameZone || spec.spread));
 
@@ -101,7 +89,8 @@
   const noRoomFor = new Map<string, number>();
   for (const group of groups) {
     if (!time.forStarts()) return;
-    const kind = kindOf(group);
+    // Machines may be kept for higher priorities.
+    const kind = `${group.spec.priority}|${taskKind(group.spec)}`;
     const atOnce = group.spec.shape === 'gang' ? group.count : 1;
     const known = noRoomFor.get(kind) ?? Infinity;
     const steps = atOnce >= known ? [] : placeNow(simulation, group);
--- a/packages/core/src/decision/place-group.ts
+++ b/packages/core/src/decision/place-group.ts
@@ -17,7 +17,7 @@
     : Infinity;
 
 /** Inserts by rank, earlier ones first among equals. */
-export const insertOption = (list: Option[], o: Option): void => {
+const insertOption = (list: Option[], o: Option): void => {
   let i = list.length;
   while (i > 0 && list[i - 1]!.rank > o.rank) i--;
   list.splice(i, 0, o);
@@ -110,7 +110,7 @@
   return steps.map((s) => ({ ...s, start, finish: start + length }));
 };
 
-export const lastFinish = (steps: readonly Step[]): Micros => Math.max(...steps.map((s) => s.finish));
+const lastFinish = (steps: readonly Step[]): Micros => Math.max(...steps.map((s) => s.finish));
 
 /**
  * Each member where it ranks first may mean that all wait for the last one, though there is room for all now
--- a/packages/core/src/leader/placement-commit.ts
+++ b/packages/core/src/leader/placement-commit.ts
@@ -1,7 +1,6 @@
 /** Carries out what a plan decided: checked once more against what is known now, then begun. */
 import type { Attempts } from '../attempts/attempts.js';
-import { fits, placeAllowed, takeFrom, type Amounts } from '../base/room.js';
-import { spreadLimit } from '../base/room.js';
+import { fits, placeAllowed, spreadLimit, takeFrom, type Amounts } from '../base/room.js';
 import type { Step } from '../decision/plan-input.js';
 import type { Term } from '../office/term.js';
 import type { ActiveJob, Machine } from '../picture/cluster.js';
--- a/packages/core/src/leader/waiting-groups.ts
+++ b/packages/core/src/leader/waiting-groups.ts
@@ -1,11 +1,11 @@
 /** What waits, as groups of equal tasks in the order in which a plan looks at them. */
 import { stagesAhead } from '../decision/ahead.js';
 import type { Ordering } from '../decision/ordering.js';
-import { gpuKind, type Group } from '../decision/plan-input.js';
+import { gpuKind, taskKind, type Group } from '../decision/plan-input.js';
 import type { Overflow } from '../decision/search.js';
 import type { Dependencies } from '../jobs/dependencies.js';
 import type { Fleet } from '../machines/fleet.js';
-import type { JobSpec, Micros, Team } from '../model.js';
+import type { Micros, Team } from '../model.js';
 import type { ActiveJob } from '../picture/cluster.js';
 import { HANDOVER } from '../picture/estate.js';
 import type { Usage } from '../picture/teams.js';
@@ -31,9 +31,6 @@
   jobOf(group: Group): ActiveJob | undefined;
 }
 
-const kindKey = (spec: JobSpec): string =>
-  `${spec.cores}|${spec.gpus}|${spec.memoryGb}|${spec.spot}|${spec.zone ?? '*'}|${spec.types?.join('+') ?? '*'}`;
-
 export class WaitingGroups {
   private readonly teams: ReadonlyMap<string, Team>;
 
@@ -72,7 +69,7 @@
     return {
       groups,
       overflow: {
-        kinds: [...new Map(beyond.map((job) => [kindKey(job.spec), job.spec])).values()],
+        kinds: [...new Map(beyond.map((job) => [taskKind(job.spec), job.spec])).values()],
         groups: this.overflow(beyond, represented, usage, lowest, jobs),
       },
       jobOf: (group) => jobs.get(group),
--- a/packages/core/test/cluster-totals.test.ts
+++ b/packages/core/test/cluster-totals.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import type { JobSpec, MachineType, Priority } from '@shaleyoke/core/model';
 import { SECOND } from '@shaleyoke/core/model';
-import { ActiveJob, attemptKey, Machine, type Attempt } from '@shaleyoke/core/picture/cluster';
+import { ActiveJob, Machine } from '@shaleyoke/core/picture/cluster';
 import { ClusterTotals } from '@shaleyoke/core/picture/cluster-totals';
 import type { Estate } from '@shaleyoke/core/picture/estate';
 import { MachineRegistry } from '@shaleyoke/core/picture/machine-registry';
@@ -13,6 +13,7 @@
 import { TYPE } from '@shaleyoke/emulator/site';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { World } from '@shaleyoke/emulator/world';
+import { runTask } from './pictures.js';
 
 const TYPES = new Map<string, MachineType>([
   ['box', { ...TYPE, cores: 8 }],
@@ -121,24 +122,7 @@
     const any = (): Machine | undefined => [...machines.values()][random.below(Math.max(1, machines.size))];
     const begin = (machine: Machine): void => {
       const job = jobs[random.below(jobs.length)]!;
-      const index = random.below(1_000);
-      const attempt: Attempt = {
-        job,
-        index,
-        no: 1,
-        machine,
-        session: 1,
-        state: 'running',
-        token: 0,
-        orderedAt: 0,
-        runningAt: 0,
-        timed: true,
-        proven: random.chance(0.8),
-        stopping: null,
-      };
-      job.live.set(index, attempt);
-      machine.attempts.set(attemptKey(job.id, index), attempt);
-      machine.touch();
+      runTask(job, random.below(1_000), machine, random.chance(0.8));
     };
     const end = (machine: Machine): void => {
       const first = [...machine.attempts][0];
--- a/packages/core/test/ordering.test.ts
+++ b/packages/core/test/ordering.test.ts
@@ -3,12 +3,13 @@
 import { test } from 'node:test';
 import { Context } from '@shaleyoke/core/base/context';
 import { Ordering } from '@shaleyoke/core/decision/ordering';
-import { ActiveJob, attemptKey, Machine, type Attempt } from '@shaleyoke/core/picture/cluster';
+import { ActiveJob, Machine } from '@shaleyoke/core/picture/cluster';
 import { Fleet, type FleetHost } from '@shaleyoke/core/machines/fleet';
 import { Estate } from '@shaleyoke/core/picture/estate';
 import { SECOND, type JobSpec, type MachineType } from '@shaleyoke/core/model';
 import { specOf } from '@shaleyoke/emulator/specs';
 import { settingsFor, TYPE } from '@shaleyoke/emulator/site';
+import { runTask } from './pictures.js';
 
 const GPU: MachineType = { ...TYPE, name: 'gpu', cores: 32, gpus: 4, memoryGb: 256 };
 
@@ -33,26 +34,6 @@
   return job;
 };
 
-const run = (job: ActiveJob, index: number, m: Machine): void => {
-  const a: Attempt = {
-    job,
-    index,
-    no: 1,
-    machine: m,
-    session: 1,
-    state: 'running',
-    token: 0,
-    orderedAt: 0,
-    runningAt: 0,
-    timed: true,
-    proven: true,
-    stopping: null,
-  };
-  job.live.set(index, a);
-  m.attempts.set(attemptKey(job.id, index), a);
-  m.changes++;
-};
-
 const SCORES: Partial<JobSpec> = {
   class: 'scores',
   priority: 0,
@@ -76,8 +57,8 @@
     });
     let index = 0;
     for (const m of [...estate.machines.values()].slice(0, gangsOn)) {
-      run(gang, index++, m);
-      run(gang, index++, m);
+      runTask(gang, index++, m);
+      runTask(gang, index++, m);
     }
     add(estate, 'large', { ...SCORES, tasks: 30, deadlineUs: 180 * SECOND });
     for (let i = 0; i < 3; i++) add(estate, `small-${i}`, { ...SCORES, tasks: 2, deadlineUs: 200 * SECOND });
@@ -92,7 +73,7 @@
   const high = add(estate, 'high', { ...SCORES, class: 'other', priority: 2, tasks: 32 });
   let index = 0;
   for (const m of [...estate.machines.values()].slice(0, 8))
-    for (let i = 0; i < 4; i++) run(high, index++, m);
+    for (let i = 0; i < 4; i++) runTask(high, index++, m);
   add(estate, 'large', { ...SCORES, tasks: 30, deadlineUs: 180 * SECOND });
   add(estate, 'small', { ...SCORES, tasks: 2, deadlineUs: 200 * SECOND });
   assert.deepEqual(
--- a/packages/core/test/pictures.ts
+++ b/packages/core/test/pictures.ts
@@ -1,5 +1,6 @@
 /** Small pictures for tests of plans: machines, groups of waiting tasks, and what tasks are predicted to take. */
 import type { Group, Picture, Rentable } from '@shaleyoke/core/decision/plan-input';
+import { attemptKey, type ActiveJob, type Attempt, type Machine } from '@shaleyoke/core/picture/cluster';
 import { SECOND, type JobSpec, type MachineType } from '@shaleyoke/core/model';
 import type { Slot } from '@shaleyoke/core/picture/slot';
 import { TYPE } from '@shaleyoke/emulator/site';
@@ -54,3 +55,24 @@
   types: slots.map((s) => s.type),
   predictor: { runTime: (_spec, type) => (run[type.name] ?? 10) * SECOND },
 });
+
+/** A task of the job runs on the machine from now on. */
+export const runTask = (job: ActiveJob, index: number, machine: Machine, proven = true): void => {
+  const attempt: Attempt = {
+    job,
+    index,
+    no: 1,
+    machine,
+    session: 1,
+    state: 'running',
+    token: 0,
+    orderedAt: 0,
+    runningAt: 0,
+    timed: true,
+    proven,
+    stopping: null,
+  };
+  job.live.set(index, attempt);
+  machine.attempts.set(attemptKey(job.id, index), attempt);
+  machine.touch();
+};
--- a/packages/emulator/src/scale/capacity.ts
+++ b/packages/emulator/src/scale/capacity.ts
@@ -72,8 +72,8 @@
   readonly need: number;
   readonly budget: number;
   readonly kind: Kind;
-  /** Workers at which the need passes the budget, with the load in proportion; null: it does not grow with them. */
-  readonly crossedAt: number | null;
+  /** Workers at which the need passes the budget, with the load in proportion; infinite where it does not grow with them. */
+  readonly crossedAt: number;
   readonly mechanism: string;
 }
 
@@ -83,6 +83,9 @@
 const crossing = (line: Line, budget: number): number =>
   line.slope <= 0 ? Infinity : Math.max(0, (budget - line.intercept) / line.slope);
 
+/** A need that is the same at any size. */
+const constant = (value: number): Line => ({ intercept: value, slope: 0, residual: 0 });
+
 const rate = (perWorker: number): Line => ({ intercept: 0, slope: perWorker, residual: 0 });
 
 const leaderOf = (report: HollowReport): HollowReport['usage'][number] =>
@@ -264,7 +267,7 @@
       'worker',
       'bytes of reports and answers',
       'bytes/s',
-      { intercept: largestHollow.workerBytesPerSecond, slope: 0, residual: 0 },
+      constant(largestHollow.workerBytesPerSecond),
       TARGET.workerBytesPerSecond,
       'measured',
       'reports',
@@ -273,11 +276,7 @@
       'worker',
       'processor of a hollow worker',
       'cores',
-      {
-        intercept: workerProcesses.reduce((sum, u) => sum + u.coreShare, 0) / hollowWorkers,
-        slope: 0,
-        residual: 0,
-      },
+      constant(workerProcesses.reduce((sum, u) => sum + u.coreShare, 0) / hollowWorkers),
       TARGET.workerCoreShare,
       'measured',
       'reports',
@@ -286,11 +285,7 @@
       'worker',
       'memory of a hollow worker',
       'MB',
-      {
-        intercept: workerProcesses.reduce((sum, u) => sum + u.memoryMb, 0) / hollowWorkers,
-        slope: 0,
-        residual: 0,
-      },
+      constant(workerProcesses.reduce((sum, u) => sum + u.memoryMb, 0) / hollowWorkers),
       TARGET.workerMemoryMb,
       'measured',
       'reports',
@@ -308,7 +303,7 @@
       'users',
       'urgent work from submission to start, 99th percentile, decisions alone',
       's',
-      { intercept: largestSlope.burst.urgentTimeToStartS.p99, slope: 0, residual: 0 },
+      constant(largestSlope.burst.urgentTimeToStartS.p99),
       TARGET.urgentStartS,
       'measured',
       'an urgent pass, and room kept by rate of arrival',
@@ -323,7 +318,7 @@
       'missing: a new term before the numbers run out',
     ),
   ];
-  return rows.sort((x, y) => (x.crossedAt ?? Infinity) - (y.crossedAt ?? Infinity));
+  return rows.sort((x, y) => x.crossedAt - y.crossedAt);
 };
 
 const figure = (value: number): string => {
@@ -356,7 +351,7 @@
     figure(r.budget),
     r.unit,
     Number.isFinite(r.budget) ? `${figure(r.need / r.budget)}` : '',
-    r.crossedAt === null || !Number.isFinite(r.crossedAt) ? 'not' : figure(r.crossedAt),
+    Number.isFinite(r.crossedAt) ? figure(r.crossedAt) : 'not',
     r.kind,
     r.mechanism,
   ]);
--- a/packages/emulator/src/scale/hollow.ts
+++ b/packages/emulator/src/scale/hollow.ts
@@ -23,6 +23,7 @@
   type HollowCounts,
   type HollowWorkersConfig,
 } from './hollow-messages.js';
+import { TEAMS } from './load.js';
 import { usageOf, type ProcessUsage } from './process-usage.js';
 import { summarize, type Summary } from './statistics.js';
 
@@ -78,7 +79,6 @@
 }
 
 const ARRAY_TASKS = 100;
-const TEAMS = Array.from({ length: 230 }, (_, i) => `team-${i}`);
 const SETTLE_MOST_S = 120;
 const USER_PATIENCE_MS = 5_000;
 const LOOK_EVERY_MS = 500;
--- a/packages/emulator/src/scale/load.ts
+++ b/packages/emulator/src/scale/load.ts
@@ -4,7 +4,7 @@
 import type { Random } from '../random.js';
 import { specOf } from '../specs.js';
 
-export const TEAMS = 230;
+export const TEAMS = Array.from({ length: 230 }, (_, i) => `team-${i}`);
 const IMAGES = 8;
 export const LARGEST_GANG = 128;
 /** Run times of jobs spread evenly between these. */
@@ -35,10 +35,7 @@
 
 /** Settings of the teams and aims, as they stand under `[cluster]`. `quota`: cores that each team may use. */
 export const clusterSettings = (quota: number): string => {
-  const teams = Array.from(
-    { length: TEAMS },
-    (_, i) => `[[cluster.teams]]\nname = "team-${i}"\ncpus_max = ${quota}.0\n`,
-  );
+  const teams = TEAMS.map((name) => `[[cluster.teams]]\nname = "${name}"\ncpus_max = ${quota}.0\n`);
   const urgent = `[[cluster.objectives]]\nkind = "wait"\nclass = "${URGENT_CLASS}"\nwithin_s = 1.6\nshare = 0.99\n`;
   return `${teams.join('')}${urgent}`;
 };
@@ -65,7 +62,7 @@
       jobs.push(
         specOf(`run-${String(number).padStart(6, '0')}`, {
           ...spec,
-          team: `team-${number % TEAMS}`,
+          team: TEAMS[number % TEAMS.length]!,
           cores: TASK_CORES,
           image: `image-${number % IMAGES}`,
           estimateUs: spec.shape === 'service' ? 0 : runTime(random),
--- a/packages/emulator/src/scale/slopes.ts
+++ b/packages/emulator/src/scale/slopes.ts
@@ -73,7 +73,7 @@
   constructor(private readonly options: SlopeOptions) {
     const { machines, seed } = options;
     // Twice what a team's share of a burst takes: quotas are counted, and hold nobody up.
-    const quota = Math.max(4 * LARGEST_GANG, Math.ceil((16 * machines) / TEAMS));
+    const quota = Math.max(4 * LARGEST_GANG, Math.ceil((16 * machines) / TEAMS.length));
     this.world = new World(
       new Random(seed),
       CONTROLLERS,
