The simulated store and controllers keep to the announced request limits

Cause: the simulated store took any number of requests and simulated controllers had no rate limiter, so that no test could show what happens when requests are scarce.

Change: StateModel takes a limit of requests a second (renewals and opened watches count) and answers 429 beyond it; with coreOptions.limitStoreRequests each simulated controller sends through the controller's own RateLimiter and retries what is rejected, as StoreClient does. RateLimiter gets its timer passed in. Simulated users give a poll up after 2 s, as PROTOCOL says, where they waited 5 s. Off by default.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -43,7 +43,7 @@
     only('controller', 'core', 'protocol'),
     only('budgets', 'core', 'config'),
     only('kubernetes', 'core', 'config'),
-    only('emulator', 'core', 'protocol', 'config'),
+    only('emulator', 'core', 'protocol', 'config', 'controller'),
     only('demo', 'core', 'budgets', 'emulator'),
     {
       name: 'nobody-knows-the-program',
--- a/packages/controller/src/rate-limiter.ts
+++ b/packages/controller/src/rate-limiter.ts
@@ -28,8 +28,15 @@
 const MIN_USED_SHARE = 0.15;
 const RECOVERY_INTERVAL: Micros = 2 * SECOND;
 const RECOVERY_STEP = 0.1;
-/** How often waiting calls are looked at, in milliseconds. */
-const SERVE_INTERVAL_MS = 20;
+/** How often waiting calls are looked at. */
+const SERVE_INTERVAL: Micros = 20 * MILLI;
+
+/** Runs something once the delay has passed. */
+export type Schedule = (delay: Micros, run: () => void) => void;
+
+const scheduleOnEventLoop: Schedule = (delay, run) => {
+  setTimeout(run, delay / MILLI);
+};
 
 /** Admits calls to one service. */
 export class RateLimiter {
@@ -37,7 +44,7 @@
   private readonly writes: TokenBucket;
   /** By urgency, and in the order in which they came. */
   private queue: WaitingCall[] = [];
-  private timer: NodeJS.Timeout | null = null;
+  private isServeScheduled = false;
   private pausedUntil: Micros = 0;
   private rejectedAt: Micros[] = [];
   private rates: { requests: number; writes: number };
@@ -49,6 +56,7 @@
     requestsPerS: number,
     writesPerS: number,
     private readonly now: () => Micros,
+    private readonly schedule: Schedule = scheduleOnEventLoop,
   ) {
     this.requests = new TokenBucket(requestsPerS, now());
     this.writes = new TokenBucket(writesPerS, now());
@@ -133,9 +141,11 @@
   }
 
   private serveLater(): void {
-    this.timer ??= setTimeout(() => {
-      this.timer = null;
+    if (this.isServeScheduled) return;
+    this.isServeScheduled = true;
+    this.schedule(SERVE_INTERVAL, () => {
+      this.isServeScheduled = false;
       this.serve();
-    }, SERVE_INTERVAL_MS);
+    });
   }
 }
--- a/packages/controller/src/store-client.ts
+++ b/packages/controller/src/store-client.ts
@@ -6,7 +6,7 @@
 import { decodeStoreReply, encodeStoreOperation } from '@shaleyoke/protocol/key-value-store';
 import { Effect } from 'effect';
 
-import { TOO_MANY_REQUESTS, waitForAdmission } from './admission.js';
+import { RETRY_REJECTED_FOR, TOO_MANY_REQUESTS, waitForAdmission } from './admission.js';
 import { steadyNow } from './clock.js';
 import { callHttp, type HttpReply, makeAgent } from './http-client.js';
 import type { RateLimiter } from './rate-limiter.js';
@@ -14,8 +14,6 @@
 const TIMEOUT: Micros = 1_200 * MILLI;
 /** How much longer than it asks for a watch may take. */
 const WATCH_MARGIN: Micros = 2 * SECOND;
-/** How long a call that was rejected for the budget is tried again, by urgency. */
-const RETRY_FOR: Record<RequestUrgency, Micros> = { 0: 2 * SECOND, 1: 900 * MILLI, 2: 4 * SECOND };
 const SOCKETS = 16;
 const WATCH_SOCKETS = 4;
 
@@ -44,7 +42,7 @@
   /** Sends one request, again for a while if it is rejected for the budget. */
   request(operation: StoreOperation, urgency: RequestUrgency): Effect.Effect<StoreReply> {
     const call = encodeStoreOperation(operation);
-    const retryUntil = steadyNow() + RETRY_FOR[urgency];
+    const retryUntil = steadyNow() + RETRY_REJECTED_FOR[urgency];
     return this.attempt(operation, call, urgency, retryUntil);
   }
 
--- a/packages/emulator/src/cluster-simulation.ts
+++ b/packages/emulator/src/cluster-simulation.ts
@@ -10,13 +10,14 @@
 import type { CoreEffect, Input, LogFields } from '@shaleyoke/core/domain/effects';
 import type { CommandReply, Heartbeat, HeartbeatResponse } from '@shaleyoke/core/domain/heartbeat';
 import type { JobSpec } from '@shaleyoke/core/domain/job';
-import type { StoreOperation } from '@shaleyoke/core/domain/key-value-store';
-import type { MembershipSettings } from '@shaleyoke/core/domain/settings';
+import type { StoreOperation, StoreReply } from '@shaleyoke/core/domain/key-value-store';
+import type { MembershipSettings, Settings } from '@shaleyoke/core/domain/settings';
 import type { Micros } from '@shaleyoke/core/domain/time';
 import { MILLI, SECOND } from '@shaleyoke/core/domain/time';
 import type { Feature } from '@shaleyoke/core/feature-api';
 
 import { CloudModel } from './cloud-model.js';
+import { LimitedStoreAccess } from './limited-store-access.js';
 import { Network } from './network.js';
 import type { Random } from './random.js';
 import { settingsFor, TYPE } from './site.js';
@@ -27,6 +28,8 @@
 import { Work } from './work.js';
 import { type Worker, WorkersModel } from './workers-model.js';
 
+type StoreRequestEffect = CoreEffect & { readonly kind: 'storeRequest' };
+
 interface SimNode {
   name: string;
   core: Core | null;
@@ -40,12 +43,18 @@
   /** Inputs that wait for the end of the step under way; used only while a meter is attached. */
   inbox: Input[];
   stepping: boolean;
+  /** The process's rate limiter; null: its requests to the store are not limited. */
+  storeAccess: LimitedStoreAccess | null;
 }
 
 /** Whoever calls gives the call up after that. */
 const CALL_PATIENCE: Micros = 1200 * MILLI;
+/** Users wait for so long for the answer to a poll, and to another request. */
+const POLL_PATIENCE: Micros = 2 * SECOND;
+const REQUEST_PATIENCE: Micros = 5 * SECOND;
 /** Orders whose way to the worker is cut or late are waited for a little longer. */
 const ORDERS_PATIENCE: Micros = 2500 * MILLI;
+const LOST: StoreReply = { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' };
 const REFUSED = { kind: 'failed', executed: false, cause: 'refused', reason: '503' } as const;
 
 export interface CoreOptions {
@@ -55,6 +64,8 @@
   readonly stopwatch?: () => Micros;
   /** Told of each effect of each controller, with the present time, before it is carried out. */
   readonly onEffect?: (node: string, effect: CoreEffect, now: Micros) => void;
+  /** Whether the store keeps to the announced limits, and each process to its share of them. */
+  readonly limitStoreRequests?: boolean;
 }
 
 export class ClusterSimulation {
@@ -190,6 +201,7 @@
       rate: 1,
       inbox: [],
       stepping: false,
+      storeAccess: null,
     }));
     for (const n of this.nodes) this.boot(n);
   }
@@ -219,15 +231,17 @@
     n.inbox = [];
     n.stepping = false;
     n.startAt = this.now;
+    const settings = settingsFor(
+      n.name,
+      this.nodes.map((x) => x.name),
+      this.teams,
+      this.next,
+      this.membership,
+      this.coreOptions.operators ?? null,
+    );
+    n.storeAccess = this.coreOptions.limitStoreRequests === true ? this.limitedAccess(settings) : null;
     n.core = new Core(
-      settingsFor(
-        n.name,
-        this.nodes.map((x) => x.name),
-        this.teams,
-        this.next,
-        this.membership,
-        this.coreOptions.operators ?? null,
-      ),
+      settings,
       this.coreOptions.stopwatch ?? (() => this.meter?.stopwatch() ?? 0),
       true,
       this.features(),
@@ -235,6 +249,19 @@
     this.feed(n, { kind: 'start', wallUs: this.wall });
   }
 
+  /** The store and the process keep to the limits that the settings announce. */
+  private limitedAccess(settings: Settings): LimitedStoreAccess {
+    this.state.requestsPerSecond = settings.storeRequestsPerS;
+    this.state.writesPerSecond = settings.storeWritesPerS;
+    return new LimitedStoreAccess(
+      settings,
+      () => this.now,
+      (delay, run) => {
+        this.plan(delay, run);
+      },
+    );
+  }
+
   crash(i: number, downFor: Micros): void {
     const n = this.nodes[i]!;
     if (n.core === null) return;
@@ -318,25 +345,9 @@
     };
     switch (e.kind) {
       case 'storeRequest':
-        if (e.op.kind === 'txn' && e.op.writes.length > 0)
-          this.onWrite(
-            n.name,
-            e.op.writes.map((x) => x.key),
-          );
-        if (this.lateWrites > 0 && this.writesLate(n, e.op, e.call, back)) return;
-        if (this.answersLost > 0 && this.losesAnswer(n, e.op, e.call, back)) return;
-        this.carry(
-          () => this.state.apply(e.op),
-          (r) => {
-            this.plan(e.op.kind === 'list' && this.isLate(n.name) ? this.listDelay : 0, () => {
-              back({ kind: 'storeReply', call: e.call, reply: r });
-            });
-          },
-          { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
-          e.op.kind === 'watch' ? e.op : null,
-          n.name,
-          'state',
-        );
+        this.requestStore(n, e, (reply) => {
+          back({ kind: 'storeReply', call: e.call, reply });
+        });
         return;
       case 'cloudRequest':
         this.carry<CloudReply>(
@@ -385,6 +396,7 @@
         return;
       }
       case 'role':
+        n.storeAccess?.setRole(e.leader);
         return;
     }
   }
@@ -401,17 +413,52 @@
         });
   }
 
-  private neverAnswered(call: number, back: (input: Input) => void): void {
+  private requestStore(
+    n: SimNode,
+    { op, urgency }: StoreRequestEffect,
+    onReply: (reply: StoreReply) => void,
+  ): void {
+    if (n.storeAccess === null) {
+      this.sendToStore(n, op, onReply);
+      return;
+    }
+    const { life } = n;
+    const send = (onSent: (reply: StoreReply) => void): void => {
+      // What waited for its turn in a process that has ended is never sent.
+      if (n.life === life) this.sendToStore(n, op, onSent);
+    };
+    n.storeAccess.request(op, urgency, send, onReply);
+  }
+
+  private sendToStore(n: SimNode, op: StoreOperation, onReply: (reply: StoreReply) => void): void {
+    if (op.kind === 'txn' && op.writes.length > 0)
+      this.onWrite(
+        n.name,
+        op.writes.map((x) => x.key),
+      );
+    if (this.lateWrites > 0 && this.writesLate(n, op, onReply)) return;
+    if (this.answersLost > 0 && this.losesAnswer(n, op, onReply)) return;
+    this.carry(
+      () => this.state.apply(op),
+      (reply) => {
+        this.plan(op.kind === 'list' && this.isLate(n.name) ? this.listDelay : 0, () => {
+          onReply(reply);
+        });
+      },
+      LOST,
+      op.kind === 'watch' ? op : null,
+      n.name,
+      'state',
+    );
+  }
+
+  private neverAnswered(onReply: (reply: StoreReply) => void): void {
     this.plan(CALL_PATIENCE, () => {
-      back({
-        kind: 'storeReply',
-        call,
-        reply: { kind: 'failed', executed: null, cause: 'silent', reason: 'lost' },
-      });
+      onReply(LOST);
     });
   }
 
-  private losesAnswer(n: SimNode, op: StoreOperation, call: number, back: (input: Input) => void): boolean {
+  private losesAnswer(n: SimNode, op: StoreOperation, onReply: (reply: StoreReply) => void): boolean {
     if (op.kind !== 'txn' || op.writes.length === 0 || this.refusedFor(n.name) > 0) return false;
     if (this.network.delay(n.name, 'state') > 0 || !this.random.chance(this.answersLost)) return false;
     this.plan(3 * MILLI, () => {
@@ -421,18 +468,18 @@
         this.unanswered.set(kind, (this.unanswered.get(kind) ?? 0) + 1);
       }
     });
-    this.neverAnswered(call, back);
+    this.neverAnswered(onReply);
     return true;
   }
 
-  private writesLate(n: SimNode, op: StoreOperation, call: number, back: (input: Input) => void): boolean {
+  private writesLate(n: SimNode, op: StoreOperation, onReply: (reply: StoreReply) => void): boolean {
     if (op.kind !== 'txn' || op.writes.length === 0 || this.refusedFor(n.name) > 0) return false;
     if (!this.random.chance(this.lateWrites)) return false;
     this.plan((2_000 + this.random.below(10_000)) * MILLI, () => {
       this.lateWritten.all++;
       if (this.state.apply(op).kind === 'ok') this.lateWritten.applied++;
     });
-    this.neverAnswered(call, back);
+    this.neverAnswered(onReply);
     return true;
   }
 
@@ -658,7 +705,7 @@
       then(a);
     };
     this.asking.set(key, finish);
-    this.plan(5 * SECOND, () => {
+    this.plan(body.kind === 'poll' ? POLL_PATIENCE : REQUEST_PATIENCE, () => {
       finish(null);
     });
     this.feed(n, { kind: 'clientRequest', request, body, wallUs: this.wall });
--- a/packages/emulator/src/state-model.ts
+++ b/packages/emulator/src/state-model.ts
@@ -13,6 +13,14 @@
 
 type WatchOp = StoreOperation & { readonly kind: 'watch' };
 
+/** What was spent of a budget that is refilled as time passes. */
+interface SpentBudget {
+  at: Micros;
+  amount: number;
+}
+
+const TOO_MANY_REQUESTS: StoreReply = { kind: 'failed', executed: false, cause: 'busy', reason: '429' };
+
 interface Watch {
   readonly op: WatchOp;
   readonly until: Micros;
@@ -24,7 +32,12 @@
   limits = { valueBytes: 16 * 1024, ops: 16 };
   /** Puts and deletes that it takes in a second, with bursts of one second's worth; those of failing transactions count. */
   writesPerSecond = Infinity;
-  private spent: { at: Micros; writes: number } = { at: 0, writes: 0 };
+  /** Requests that it takes in a second, with bursts of one second's worth; renewals and opened watches count. */
+  requestsPerSecond = Infinity;
+  /** Requests that were answered with 429. */
+  overLimit = 0;
+  private readonly spentRequests: SpentBudget = { at: 0, amount: 0 };
+  private readonly spentWrites: SpentBudget = { at: 0, amount: 0 };
   /** Requests with more than that, refused. */
   refusals = 0;
   downUntil: Micros = 0;
@@ -110,6 +123,10 @@
       reply({ kind: 'failed', executed: false, cause: 'refused', reason: '503' });
       return;
     }
+    if (!this.spend(this.spentRequests, this.requestsPerSecond, 1)) {
+      reply(TOO_MANY_REQUESTS);
+      return;
+    }
     const r = this.eventsFor(op);
     if (r.kind !== 'events' || r.events.length > 0) reply(r);
     else this.watches.push({ op, until: this.now() + op.waitMs * MILLI, reply });
@@ -118,6 +135,7 @@
   apply(op: StoreOperation): StoreReply {
     if (this.down) return { kind: 'failed', executed: false, cause: 'refused', reason: '503' };
     this.expire();
+    if (!this.spend(this.spentRequests, this.requestsPerSecond, 1)) return TOO_MANY_REQUESTS;
     if (this.mute.size > 0 && this.asksMute(op))
       return { kind: 'failed', executed: null, cause: 'silent', reason: 'mute key' };
     switch (op.kind) {
@@ -169,8 +187,7 @@
       this.refusals++;
       return { kind: 'refused', reason: '400' };
     }
-    if (!this.mayWrite(op.writes.length))
-      return { kind: 'failed', executed: false, cause: 'busy', reason: '429' };
+    if (!this.spend(this.spentWrites, this.writesPerSecond, op.writes.length)) return TOO_MANY_REQUESTS;
     for (const w of op.writes)
       if (w.kind === 'put' && w.lease !== undefined && !this.leases.has(w.lease)) return { kind: 'noLease' };
     const failed = op.conditions
@@ -198,13 +215,18 @@
     );
   }
 
-  private mayWrite(writes: number): boolean {
-    if (writes === 0 || this.writesPerSecond === Infinity) return true;
+  /** Takes an amount from a budget, with bursts of one second's worth; false: the limit is reached. */
+  private spend(spent: SpentBudget, perSecond: number, amount: number): boolean {
+    if (amount === 0 || perSecond === Infinity) return true;
     const now = this.now();
-    const since = ((now - this.spent.at) / SECOND) * this.writesPerSecond;
-    const before = Math.max(0, this.spent.writes - since);
-    if (before + writes > Math.max(this.writesPerSecond, writes)) return false;
-    this.spent = { at: now, writes: before + writes };
+    const refilled = ((now - spent.at) / SECOND) * perSecond;
+    const before = Math.max(0, spent.amount - refilled);
+    if (before + amount > Math.max(perSecond, amount)) {
+      this.overLimit++;
+      return false;
+    }
+    spent.at = now;
+    spent.amount = before + amount;
     return true;
   }
 
--- a/packages/emulator/src/users-model.ts
+++ b/packages/emulator/src/users-model.ts
@@ -92,8 +92,13 @@
     });
   }
 
-  poll(id: string): void {
-    this.ask(id, { kind: 'poll', id }, () => undefined);
+  /** Polls a node, any one if none is given; `then` gets the answer, null if there was none in time. */
+  poll(
+    id: string,
+    node = this.random.below(this.host.nodes),
+    then: (answer: ClientResponse | null) => void = () => undefined,
+  ): void {
+    this.ask(id, { kind: 'poll', id }, then, node);
   }
 
   cancel(id: string, tries = 0): void {
