A controller that knows few jobs reads all active records page by page

Cause, by class: work per question that grows with the number of jobs, on a budget that does not. After a restart a controller knows no job; each poll was compared as absent, failed, and was read by one or two requests of its own, within a share of the store's requests that is 27 a second for a follower at 100. Which polls got through was chance.

A job that is seen to have ended is read by one request in place of two. A leader remembers the records that it lists and is told of anyway. The cache never replaces a record by an older one. Answers still follow a validation, and 404 still rests on one moment.

--- a/packages/core/src/api/job-cache.ts
+++ b/packages/core/src/api/job-cache.ts
@@ -50,9 +50,16 @@
     return this.jobs.get(id)?.kind === 'ended';
   }
 
-  /** Remembers a record. One that is known to have ended stays as it is. */
+  /** How many jobs are known. */
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  /** Remembers a record. One that is known to have ended stays as it is, and so does a newer one. */
   remember(id: string, job: KnownJob): void {
-    if (this.hasEnded(id)) return;
+    const known = this.jobs.get(id);
+    if (known?.kind === 'ended') return;
+    if (known !== undefined && job.kind === 'active' && job.version < known.version) return;
     // Deleted first, so that it becomes the newest entry.
     this.jobs.delete(id);
     this.jobs.set(id, job);
--- a/packages/core/src/api/job-lookup.ts
+++ b/packages/core/src/api/job-lookup.ts
@@ -1,6 +1,6 @@
 /** Reads the records of jobs from the state service. */
 import { decodeActiveJob, decodeEndedJob } from '../codecs/job-codec.js';
-import { activeJobKey, endedJobKey } from '../codecs/keys.js';
+import { activeJobKey, endedJobKey, jobIdOfActiveKey } from '../codecs/keys.js';
 import type { StoredItem } from '../domain/key-value-store.js';
 import type { NodeContext } from '../node/node-context.js';
 import type { JobCache, KnownEndedJob, KnownJob } from './job-cache.js';
@@ -28,6 +28,23 @@
     });
   }
 
+  /** The same for a job whose active record is gone, or whose ended record was seen: one request is enough then. */
+  lookupLikelyEnded(id: string, callback: LookupCallback): void {
+    this.lookupEnded(id, (result) => {
+      // Absence rests on both records, read in the order in which they move.
+      if (result.kind === 'absent') this.lookup(id, callback);
+      else callback(result);
+    });
+  }
+
+  /** Remembers the record of an active job that was read with others. */
+  rememberListed(item: StoredItem): void {
+    const id = jobIdOfActiveKey(item.key);
+    const known = this.cache.get(id);
+    if (known === undefined || (known.kind === 'active' && known.version !== item.version))
+      this.readActive(id, item);
+  }
+
   private lookupEnded(id: string, callback: LookupCallback): void {
     this.context.requestStore({ kind: 'get', key: endedJobKey(id) }, CLIENT_REQUEST_URGENCY, (reply) => {
       if (reply.kind === 'item') callback(this.readEnded(id, reply.item));
--- a/packages/core/src/api/job-service.ts
+++ b/packages/core/src/api/job-service.ts
@@ -3,6 +3,7 @@
  * after the write; answers polls from records that are validated in the state service.
  */
 import type { ClientRequest, ClientResponse, InternalResponse } from '../domain/client-api.js';
+import type { JobSpec } from '../domain/job.js';
 import type { ProgressUpdate } from '../domain/peer.js';
 import type { NodeContext } from '../node/node-context.js';
 import { CancellationHandler } from './cancellation.js';
@@ -75,6 +76,11 @@
     this.cache.recordProgress(update);
   }
 
+  /** Takes over the record of an active job that the leader has read. */
+  recordActiveJob(spec: JobSpec, version: number): void {
+    this.cache.remember(spec.id, { kind: 'active', version, spec });
+  }
+
   /** Takes over how a job ended, from the leader's own writes and its watch. */
   recordTerminalState(
     id: string,
--- a/packages/core/src/api/linearizable-reads.ts
+++ b/packages/core/src/api/linearizable-reads.ts
@@ -6,6 +6,7 @@
 import type { ClientResponse } from '../domain/client-api.js';
 import { type Micros, MILLI, SECOND } from '../domain/time.js';
 import type { NodeContext } from '../node/node-context.js';
+import { ActiveJobSweep } from './active-job-sweep.js';
 import { type ClientResponder, overloaded, storeUnavailable } from './client-responder.js';
 import type { JobCache, KnownActiveJob, KnownEndedJob, KnownJob } from './job-cache.js';
 import type { JobLookup, LookupResult } from './job-lookup.js';
@@ -38,6 +39,9 @@
   private readonly regularLane: ValidationLane;
   /** Suspect jobs neither delay others nor wait behind them. */
   private readonly suspectLane: ValidationLane;
+  private readonly sweep: ActiveJobSweep;
+  /** Polls of active jobs whose records the sweep under way reads. */
+  private waitingForSweep: JobPolls[] = [];
 
   constructor(
     private readonly context: NodeContext,
@@ -49,6 +53,7 @@
     this.collector = new BatchCollector(cache, this.suspects, this.validator.conditionLimit, this);
     this.regularLane = new ValidationLane(context, this.validator, this);
     this.suspectLane = new ValidationLane(context, this.validator, this);
+    this.sweep = new ActiveJobSweep(context, lookups);
   }
 
   /** Answers with the job's state, at once if its end is known, else after a validation. */
@@ -129,11 +134,14 @@
     }
     const ids = polls.map(({ id }) => id);
     this.suspects.recordValidation(ids, polls.length, result.kind === 'compared');
+    const missing: JobPolls[] = [];
     for (const batched of polls) {
       if (result.kind === 'unanswered') this.fail(batched.requests);
       else if (result.failed.size === 0) this.respondValidated(batched);
+      else if (this.isMissingActiveJob(batched, result.failed)) missing.push(batched);
       else this.resolveAfterConflict(batched, result.failed);
     }
+    if (missing.length > 0) this.readMissing(missing);
   }
 
   /** Answers polls of a job whose end is known. */
@@ -141,6 +149,11 @@
     this.respondToAll(requests, id, job);
   }
 
+  /** A sweep may read the record of a job that is not known yet: its polls wait for that. */
+  isHeld(id: string): boolean {
+    return this.sweep.isUnderWay && this.cache.get(id) === undefined;
+  }
+
   /** Reads the records of dependencies; the polls of the job wait meanwhile. */
   readDependencies(dependencies: readonly string[], polls: JobPolls): void {
     let outstanding = dependencies.length;
@@ -200,11 +213,41 @@
     else for (const { request } of requests) this.responder.respond(request, ABSENT);
   }
 
+  /** The job was taken for absent, and has not ended: its record has not been read yet. */
+  private isMissingActiveJob({ id, known }: BatchedPolls, failed: ReadonlySet<string>): boolean {
+    return known === undefined && failed.has(activeJobKey(id)) && !failed.has(endedJobKey(id));
+  }
+
+  private readMissing(missing: readonly JobPolls[]): void {
+    if (!this.sweep.isUnderWay && !this.sweep.isWorthwhile(missing.length)) {
+      for (const polls of missing) this.readJob(polls);
+      return;
+    }
+    this.waitingForSweep.push(...missing);
+    if (this.sweep.isUnderWay) return;
+    this.sweep.start((isComplete) => {
+      this.resolveAfterSweep(isComplete);
+    });
+  }
+
+  private resolveAfterSweep(isComplete: boolean): void {
+    const waiting = this.waitingForSweep;
+    this.waitingForSweep = [];
+    for (const polls of waiting) {
+      if (this.cache.get(polls.id) !== undefined) this.putBack(polls, AFTER_LOOKUP_US);
+      // It ended meanwhile, or its record can't be read.
+      else if (isComplete) this.readJob(polls);
+      else this.repeat(polls);
+    }
+  }
+
   /** Some conditions of the batch failed: what has changed is read, and the other polls are validated anew. */
   private resolveAfterConflict(polls: BatchedPolls, failed: ReadonlySet<string>): void {
     const { id, requests, keys } = polls;
     if (failed.has(activeJobKey(id)) || failed.has(endedJobKey(id))) {
-      this.readJob(id, requests);
+      this.lookups.lookupLikelyEnded(id, (result) => {
+        this.respondToPolls(polls, result);
+      });
       return;
     }
     const changedDependencies = keys.filter((key) => failed.has(key)).map(jobIdOfActiveKey);
@@ -212,12 +255,16 @@
     else this.putBack({ id, requests });
   }
 
-  private readJob(id: string, requests: readonly PollRequest[]): void {
-    this.lookups.lookup(id, (result) => {
-      for (const { request } of requests) this.respondWithLookup(request, id, result);
+  private readJob(polls: JobPolls): void {
+    this.lookups.lookup(polls.id, (result) => {
+      this.respondToPolls(polls, result);
     });
   }
 
+  private respondToPolls({ id, requests }: JobPolls, result: LookupResult): void {
+    for (const { request } of requests) this.respondWithLookup(request, id, result);
+  }
+
   private respondToAll(requests: readonly PollRequest[], id: string, job: KnownJob): void {
     for (const { request } of requests) this.responder.respondWithJob(request, id, job);
   }
--- a/packages/core/src/api/validation-batch.ts
+++ b/packages/core/src/api/validation-batch.ts
@@ -22,6 +22,8 @@
 
 /** What becomes of polls that need no validation, or can't be validated yet. */
 export interface BatchHost {
+  /** Whether the polls of the job stay in the queue for now. */
+  isHeld(id: string): boolean;
   /** The job has ended, which never changes. */
   respondFinal(polls: JobPolls, job: KnownEndedJob): void;
   /** The records of these dependencies have to be read first. */
@@ -48,6 +50,7 @@
     let batchLimit: number | null = null;
     for (const waiting of pending.inOrder()) {
       const { id } = waiting;
+      if (this.host.isHeld(id)) continue;
       const basis = validationBasisOf(id, this.cache);
       if (basis.kind === 'final') {
         pending.remove(id);
--- a/packages/core/src/leader/state-restoration.ts
+++ b/packages/core/src/leader/state-restoration.ts
@@ -143,6 +143,7 @@
     // A list of several pages may show a job whose end this leader has written since. One that depends on others may be
     // reported as cancelled before its own record is.
     if (record.spec.dependsOn.length === 0 && this.parts.jobService.hasEnded(id)) return;
+    this.parts.jobService.recordActiveJob(record.spec, version);
     const job = new ActiveJob(record.spec, version, record.acceptedAt, ctx.now);
     cluster.jobs.set(id, job);
     if (arrived) this.admit(job);
--- a/packages/emulator/src/fault-scenarios.ts
+++ b/packages/emulator/src/fault-scenarios.ts
@@ -35,6 +35,9 @@
 const busy = (w: ClusterSimulation): Worker[] =>
   [...w.workers.values()].filter((x) => x.alive && x.tasks.some((t) => t.state === 'running'));
 
+/** So many machines are mute at least, whatever chance says. */
+const LEAST_MUTE = 4;
+
 /** Some of those that have tasks: cut off or hanging, deaf or mute, for shorter and longer than a lease. */
 const disturb = ({ w, r, count }: ScenarioContext, share: number): void => {
   for (const x of busy(w)) {
@@ -280,8 +283,10 @@
   'mute and deaf machines': (s) => {
     const { w, r, count } = s;
     const all = r.chance(0.25);
+    let mute = 0;
     for (const x of w.workers.values())
-      if (x.alive && (all || r.chance(0.4))) {
+      if (x.alive && (all || mute < LEAST_MUTE || r.chance(0.4))) {
+        mute++;
         x.muteUntil = w.now + (5 + r.below(45)) * SECOND;
         count('mute');
       } else if (x.alive && r.chance(0.2)) x.deafUntil = w.now + (5 + r.below(45)) * SECOND;
