Invariants checked at run time, and counts of what became of clients' requests

Nothing told afterwards why a poll was not answered, or on what a 404 rested.

Invariants: a job known as accepted is not refused (it is answered 503 instead), one known as ended is not answered as active, and only a node that may act as leader commands workers, renews their leases or rents machines. A violation is the error event invariant.violated with its facts.

Found while checking: a leader whose right is suspended sends deletions again. That breaks no rule: what is deleted is on record as retiring, which nobody undoes; the invariant leaves deletions out for that reason.

--- a/packages/core/src/api/job-service.ts
+++ b/packages/core/src/api/job-service.ts
@@ -11,11 +11,13 @@
 import { JobCache } from './job-cache.js';
 import { JobLookup } from './job-lookup.js';
 import { LinearizableReads } from './linearizable-reads.js';
+import { RequestMetrics } from './request-metrics.js';
 import { SubmissionHandler } from './submission.js';
 
 /** Handles the requests of clients and of features of this process. */
 export class JobService {
   private readonly cache = new JobCache();
+  private readonly metrics: RequestMetrics;
   private readonly responder: ClientResponder;
   private readonly reads: LinearizableReads;
   private readonly submissions: SubmissionHandler;
@@ -27,9 +29,10 @@
     private readonly isStoreServingPeers: () => boolean = () => false,
   ) {
     const { cache } = this;
-    const responder = new ClientResponder(context, cache);
+    this.metrics = new RequestMetrics(context);
+    const responder = new ClientResponder(context, cache, this.metrics);
     const lookups = new JobLookup(context, cache);
-    const reads = new LinearizableReads(context, cache, lookups, responder);
+    const reads = new LinearizableReads(context, cache, lookups, responder, this.metrics);
     this.responder = responder;
     this.reads = reads;
     this.submissions = new SubmissionHandler(context, cache, lookups, reads, responder);
@@ -39,8 +42,18 @@
     });
   }
 
+  /** Begins to log what becomes of requests. */
+  start(): void {
+    this.metrics.start(() => ({
+      cachedJobs: this.cache.size,
+      ...this.reads.summary(),
+      invariantViolations: this.context.invariants.violations,
+    }));
+  }
+
   /** Handles a request; its response is emitted as an effect with the same number. */
   handle(request: number, body: ClientRequest): void {
+    if (body.kind !== 'health') this.metrics.recordRequest();
     if (body.kind !== 'health' && this.isStoreLost && !this.hasEnded(body.id)) {
       this.responder.respond(request, storeUnavailable());
       return;
--- a/packages/core/src/api/linearizable-reads.ts
+++ b/packages/core/src/api/linearizable-reads.ts
@@ -4,6 +4,7 @@
  */
 import { activeJobKey, endedJobKey, jobIdOfActiveKey } from '../codecs/keys.js';
 import type { ClientResponse } from '../domain/client-api.js';
+import type { LogFields } from '../domain/effects.js';
 import { type Micros, MILLI, SECOND } from '../domain/time.js';
 import type { NodeContext } from '../node/node-context.js';
 import { ActiveJobSweep } from './active-job-sweep.js';
@@ -11,6 +12,7 @@
 import type { JobCache, KnownActiveJob, KnownEndedJob, KnownJob } from './job-cache.js';
 import type { JobLookup, LookupResult } from './job-lookup.js';
 import type { JobPolls, PendingPolls, PollRequest } from './pending-polls.js';
+import type { RequestMetrics } from './request-metrics.js';
 import { SuspectJobs } from './suspect-jobs.js';
 import { validationBasisOf } from './validation-basis.js';
 import {
@@ -31,6 +33,11 @@
 
 const ABSENT: ClientResponse = { kind: 'absent' };
 
+const outcomeOf = (result: ValidationResult): 'valid' | 'conflict' | 'unanswered' | 'overBudget' => {
+  if (result.kind !== 'compared') return result.kind;
+  return result.failed.size === 0 ? 'valid' : 'conflict';
+};
+
 /** Reads of jobs that are linearizable across all nodes. */
 export class LinearizableReads implements BatchHost, LaneHost {
   private readonly suspects = new SuspectJobs();
@@ -48,6 +55,7 @@
     private readonly cache: JobCache,
     private readonly lookups: JobLookup,
     private readonly responder: ClientResponder,
+    private readonly metrics: RequestMetrics,
   ) {
     this.validator = new VersionValidator(context);
     this.collector = new BatchCollector(cache, this.suspects, this.validator.conditionLimit, this);
@@ -66,6 +74,20 @@
     this.enqueue(id, { request, arrivedAt: this.context.now });
   }
 
+  /** What waits, and what was read, for the log. */
+  summary(): LogFields {
+    const { now } = this.context;
+    const pending = [this.regularLane, this.suspectLane].map((lane) => lane.pending);
+    const arrivals = pending.map(({ oldestArrival }) => oldestArrival ?? now);
+    return {
+      pendingJobs: pending.reduce((sum, { jobCount }) => sum + jobCount, 0),
+      oldestPollMs: Math.round((now - Math.min(...arrivals)) / MILLI),
+      suspects: this.suspects.count,
+      waitingForSweep: this.waitingForSweep.length,
+      ...this.sweep.counts,
+    };
+  }
+
   /** Answers all polls that wait for the next validation: clients give a poll up after two seconds. */
   failPending(): void {
     for (const lane of [this.regularLane, this.suspectLane])
@@ -87,12 +109,19 @@
     ifAbsent: ClientResponse = ABSENT,
   ): void {
     if (result.kind === 'unknown') this.responder.respond(request, storeUnavailable());
-    else if (result.kind === 'absent') this.responder.respond(request, ifAbsent);
+    else if (result.kind === 'absent') this.respondAbsent(request, id, ifAbsent);
     // Whether it still waits depends on the records of its dependencies as well.
     else if (result.kind === 'active' && result.spec.dependsOn.length > 0) this.poll(request, id);
     else this.responder.respondWithJob(request, id, result);
   }
 
+  private respondAbsent(request: number, id: string, response: ClientResponse): void {
+    if (response.kind === 'unavailable') this.responder.respond(request, response);
+    // It was accepted since, as this node has learned meanwhile: the lookup is older than that.
+    else if (this.cache.get(id) !== undefined) this.poll(request, id);
+    else this.responder.respondRefused(request, id, response, 'lookup');
+  }
+
   /**
    * Answers the request that created the job. The job may name one that was cancelled long ago, which this node need not
    * have heard of: then it is cancelled as well, and calling it queued would be too late (`orphaned`, found by a
@@ -128,6 +157,7 @@
 
   /** Resolves the polls of a batch by the result of its validation. */
   resolve({ polls }: ValidationBatch, result: ValidationResult): void {
+    this.metrics.recordValidation(outcomeOf(result));
     if (result.kind === 'overBudget') {
       for (const batched of polls) this.repeat(batched);
       return;
@@ -210,7 +240,7 @@
     // Its end may have become known meanwhile.
     const job = this.cache.get(id) ?? known;
     if (job !== undefined) this.respondToAll(requests, id, job);
-    else for (const { request } of requests) this.responder.respond(request, ABSENT);
+    else for (const { request } of requests) this.responder.respondRefused(request, id, ABSENT, 'validation');
   }
 
   /** The job was taken for absent, and has not ended: its record has not been read yet. */
--- a/packages/core/src/api/submission.ts
+++ b/packages/core/src/api/submission.ts
@@ -90,7 +90,8 @@
 
   /** A known job is answered with its state whatever the body says; only if it is unknown the body is judged. */
   private reject(request: number, id: string | null, rejection: ClientResponse): void {
-    if (id === null || rejection.kind === 'unavailable') this.responder.respond(request, rejection);
+    if (rejection.kind === 'unavailable') this.responder.respond(request, rejection);
+    else if (id === null) this.responder.respondRefused(request, id, rejection, 'body');
     else this.reads.respondFromLookup(request, id, rejection);
   }
 
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -12,6 +12,21 @@
 import { MachineTypeLoader } from './node/machine-type-loader.js';
 import { NodeContext } from './node/node-context.js';
 
+/** Effects that only a node with the right to act may have. */
+const isLeaderAction = (effect: CoreEffect): boolean => {
+  switch (effect.kind) {
+    case 'workerCommands':
+      return effect.commands.length > 0;
+    case 'heartbeatResponse':
+      return effect.answer.kind === 'accepted';
+    case 'cloudRequest':
+      // Deletions rest on the machine's record instead, which says that it retires: whoever leads, that is never undone.
+      return effect.op.kind === 'rent';
+    default:
+      return false;
+  }
+};
+
 /** The state machine of one controller. */
 export class Core {
   private readonly context: NodeContext;
@@ -102,11 +117,23 @@
     });
     context.runDueTimers();
     context.runEndOfStep();
+    this.checkActions();
     const wakeAt = context.nextWake();
     if (wakeAt !== null) context.emit({ kind: 'wake', at: wakeAt });
     return context.out;
   }
 
+  /** Whatever led to it, only a node that may act as leader commands workers, renews their leases, or rents machines. */
+  private checkActions(): void {
+    const { context } = this;
+    const action = context.out.find(isLeaderAction);
+    if (action === undefined) return;
+    context.invariants.check('onlyLeaderActs', this.leads(), () => ({
+      action: action.kind === 'cloudRequest' ? action.op.kind : action.kind,
+      term: this.election.lease?.term ?? null,
+    }));
+  }
+
   /** The scheduler of the term that this controller leads; null while another one does. */
   get scheduler(): Scheduler | null {
     return this.currentScheduler;
@@ -124,6 +151,7 @@
         this.setWallClock(input.wallUs);
         this.election.start();
         this.peerHeartbeats?.start(input.wallUs);
+        this.jobService.start();
         this.machineTypes.load();
         return;
       case 'timer':
--- a/packages/core/src/leadership/leader-election.ts
+++ b/packages/core/src/leadership/leader-election.ts
@@ -9,6 +9,7 @@
 import { LeaderKeyWatch } from './leader-key-watch.js';
 import type { LeaderLease } from './leader-lease.js';
 import { LeaseAcquisition } from './lease-acquisition.js';
+import { TermNumbers } from './term-numbers.js';
 
 export type { LeaderLease } from './leader-lease.js';
 
@@ -142,7 +143,10 @@
     this.held = held;
     held.extend(requestedAt);
     this.context.emit({ kind: 'role', leader: true });
-    this.context.info('leader.elected', { term: lease.term });
+    this.context.info('leader.elected', {
+      term: lease.term,
+      fencingToken: new TermNumbers(lease.term).firstFencingToken,
+    });
     held.startRenewal();
     this.onElected(lease);
   }
--- a/packages/core/src/node/node-context.ts
+++ b/packages/core/src/node/node-context.ts
@@ -8,6 +8,7 @@
 import type { MachineType } from '../domain/machine.js';
 import type { Settings } from '../domain/settings.js';
 import { type Micros, MILLI, SECOND } from '../domain/time.js';
+import { Invariants } from './invariants.js';
 import { StoreConnection } from './store-connection.js';
 import { TimerQueue } from './timer-queue.js';
 
@@ -31,6 +32,10 @@
   out: CoreEffect[] = [];
   /** Whether the store answers this node. */
   readonly storeConnection = new StoreConnection();
+  /** What is checked at run time. */
+  readonly invariants = new Invariants((fields) => {
+    this.error('invariant.violated', fields);
+  });
   /** Called when the store stops answering this node. */
   readonly onStoreLost: (() => void)[] = [];
 
