A soak on real controllers over loopback, and what polls cost the store

No test played faults on real processes with users who go on asking.

tools/soak.ts plays seeded troubles (19 kinds, up to three at once: kills, pauses, series of leaders, cuts, slow, lost and late messages on each link, workers cut, mute, deaf, hung or killed) on controllers of the built program, with links of its own between all parties. Users submit, poll at all controllers within milliseconds, repeat, cancel and ask about jobs of nobody. What users and workers saw is checked for all rules of the protocol, the four forms of forgotten, jobs left waiting beside room, controllers that end by themselves, and errors in their logs.

scale.ts polls measures requests to the store for each answered poll, warm and after a restart of all controllers.

The cloud of the loopback deployment is a module that both use, and its store answers 429 beyond its limits, which it answered with 503.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,10 @@
   'packages/budgets/src/**',
   'packages/cli/src/**',
   'packages/demo/src/**',
-  'packages/emulator/src/**',
+  // Of the emulator all but the soak.
+  'packages/emulator/src/*.ts',
+  'packages/emulator/src/digest/**',
+  'packages/emulator/src/scale/**',
   'packages/kubernetes/src/**',
 ];
 
--- /dev/null
+++ b/packages/emulator/src/loopback-cloud.ts
@@ -0,0 +1,98 @@
+/** The cloud of a deployment on loopback: rents workers of this process, lists them, and takes them away. */
+import type { CloudOperation, CloudReply } from '@shaleyoke/core/domain/cloud';
+import type { MachineType } from '@shaleyoke/core/domain/machine';
+import type { Micros } from '@shaleyoke/core/domain/time';
+import { MILLI } from '@shaleyoke/core/domain/time';
+
+import type { LoopWorker } from './loopback-workers.js';
+
+/** What the cloud charges for. */
+export interface Bill {
+  readonly machine: string;
+  readonly type: string;
+  readonly from: Micros;
+  to: Micros | null;
+}
+
+/** What the cloud needs to know and do. */
+export interface LoopbackCloudHost {
+  now(): Micros;
+  isStopping(): boolean;
+  readonly types: readonly MachineType[];
+  /** Machines of a type that the cloud has in a zone. */
+  readonly perZone: number;
+  makeWorker(name: string, type: string, zone: string, spot: boolean): LoopWorker;
+}
+
+/** Rents and returns workers. */
+export class LoopbackCloud {
+  readonly workers = new Map<string, LoopWorker>();
+  readonly bills: Bill[] = [];
+  private readonly bookings = new Map<string, string[]>();
+  private nextMachine = 1;
+
+  constructor(private readonly host: LoopbackCloudHost) {}
+
+  /** Carries out a request. */
+  apply(operation: CloudOperation): CloudReply {
+    switch (operation.kind) {
+      case 'types':
+        return { kind: 'types', types: this.host.types };
+      case 'rent':
+        return this.rent(operation);
+      case 'delete':
+        for (const name of operation.machines) this.kill(name);
+        return { kind: 'deleted' };
+      case 'list':
+        return this.list(operation);
+    }
+  }
+
+  /** Power is lost, or the cloud took the machine back. */
+  kill(name: string): void {
+    const worker = this.workers.get(name);
+    if (worker?.alive !== true) return;
+    worker.kill();
+    this.bills.find(({ machine }) => machine === name)!.to = this.host.now();
+  }
+
+  private rent(operation: CloudOperation & { kind: 'rent' }): CloudReply {
+    const earlier = this.bookings.get(operation.request);
+    if (earlier !== undefined) return { kind: 'rented', machines: earlier };
+    const type = this.host.types.find(({ name }) => name === operation.type);
+    const present = [...this.workers.values()].filter(
+      (worker) => worker.alive && worker.type === operation.type && worker.zone === operation.zone,
+    ).length;
+    const count = Math.min(operation.count, this.host.perZone - present);
+    if (type === undefined || count <= 0) return { kind: 'noCapacity' };
+    const machines = Array.from({ length: count }, () => this.add(type, operation.zone, operation.spot));
+    this.bookings.set(operation.request, machines);
+    return { kind: 'rented', machines };
+  }
+
+  private add(type: MachineType, zone: string, spot: boolean): string {
+    const name = `m-${String(this.nextMachine++).padStart(6, '0')}`;
+    this.bills.push({ machine: name, type: type.name, from: this.host.now(), to: null });
+    const worker = this.host.makeWorker(name, type.name, zone, spot);
+    this.workers.set(name, worker);
+    setTimeout(() => {
+      if (worker.alive && !this.host.isStopping()) void worker.boot();
+    }, type.bootUs / MILLI);
+    return name;
+  }
+
+  private list({ after, limit }: CloudOperation & { kind: 'list' }): CloudReply {
+    const machines = [...this.workers.values()]
+      .filter((worker) => worker.alive && worker.name > after)
+      .map((worker) => ({
+        name: worker.name,
+        address: worker.address,
+        type: worker.type,
+        zone: worker.zone,
+        spot: worker.spot,
+        state: worker.address === '' ? ('booting' as const) : ('running' as const),
+        ageUs: this.host.now() - this.bills.find(({ machine }) => machine === worker.name)!.from,
+      }));
+    return { kind: 'listed', machines: machines.slice(0, limit), more: machines.length > limit };
+  }
+}
--- a/packages/emulator/src/loopback-http.ts
+++ b/packages/emulator/src/loopback-http.ts
@@ -60,6 +60,27 @@
   return held.map((server) => Number(server.address.slice(server.address.lastIndexOf(':') + 1)));
 };
 
+/** Whether a port of loopback is free. */
+const isFree = async (port: number): Promise<boolean> => {
+  try {
+    const server = await serve(`127.0.0.1:${port}`, () => undefined);
+    server.close();
+    return true;
+  } catch {
+    return false;
+  }
+};
+
+/**
+ * Ports of loopback that are free, in order from `first`. Below those that the system gives out, so that nothing else takes
+ * one while the process that listens there is being started again.
+ */
+export const freePortsFrom = async (first: number, count: number): Promise<number[]> => {
+  const ports: number[] = [];
+  for (let port = first; ports.length < count; port++) if (await isFree(port)) ports.push(port);
+  return ports;
+};
+
 /** Null: no answer within the time. */
 export const call = (
   address: string,
--- a/packages/emulator/src/loopback-workers.ts
+++ b/packages/emulator/src/loopback-workers.ts
@@ -4,8 +4,8 @@
 import type { Micros } from '@shaleyoke/core/domain/time';
 import { MILLI, SECOND } from '@shaleyoke/core/domain/time';
 
-import { serve, type Served } from './loopback-http.js';
-import { encodeReport, ordersOf, workerAnswerOf } from './wire.js';
+import { type Asked, serve, type Served } from './loopback-http.js';
+import { type Answer, encodeReport, ordersOf, workerAnswerOf } from './wire.js';
 
 const LEAST_GAP: Micros = 500 * MILLI;
 const STEP_MS = 50;
@@ -36,6 +36,20 @@
   /** A task ran on a machine from its beginning to now. */
   ran(job: string, index: number, machine: string, us: Micros, done: boolean): void;
   call(address: string, path: string, body: Buffer): Promise<{ status: number; body: Buffer } | null>;
+  /** A task's image is there: from now on the task is on the machine. */
+  arrived?(task: PlacedTask): void;
+  /** A task that was on the machine is gone; `done`: it has completed. */
+  left?(task: PlacedTask, done: boolean): void;
+  /** Carries direct commands and their answers; without it they arrive at once. */
+  carryCommand?(machine: string, execute: () => Answer): Promise<Answer | null>;
+}
+
+/** An attempt of a task on a machine. */
+export interface PlacedTask {
+  readonly job: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: string;
 }
 
 export class LoopWorker {
@@ -48,6 +62,7 @@
   private reportAt: Micros;
   private reported: Micros = 0;
   private reporting = false;
+  private hungUntil: Micros = 0;
   private tasks: LoopTask[] = [];
   private server: Served | null = null;
   private timer: NodeJS.Timeout | null = null;
@@ -69,19 +84,15 @@
 
   /** Comes up: listens for orders on `listen` (IP:PORT), and begins to report. */
   async boot(listen = '127.0.0.1:0'): Promise<void> {
-    const server = await serve(listen, (r, reply) => {
-      if (r.url === '/inspect') {
-        reply({ status: 200, body: encodeReport(this.report()) });
-        return;
-      }
-      const { token, session, orders } = ordersOf(r.body);
-      if (token < this.token || session !== this.session) {
-        reply({ status: 409, body: encodeReport(this.report()) });
+    const server = await serve(listen, (request, reply) => {
+      const execute = (): Answer => this.answerCommand(request);
+      if (this.world.carryCommand === undefined) {
+        reply(execute());
         return;
       }
-      this.token = token;
-      for (const o of orders) this.execute(o);
-      reply({ status: 200, body: encodeReport(this.report()) });
+      void this.world.carryCommand(this.name, execute).then((answer) => {
+        if (answer !== null) reply(answer);
+      });
     });
     if (!this.alive) {
       server.close();
@@ -94,6 +105,26 @@
     }, STEP_MS);
   }
 
+  private answerCommand({ url, body }: Asked): Answer {
+    if (url === '/inspect') return { status: 200, body: encodeReport(this.report()) };
+    const { token, session, orders } = ordersOf(body);
+    if (token < this.token || session !== this.session)
+      return { status: 409, body: encodeReport(this.report()) };
+    this.token = token;
+    for (const o of orders) this.execute(o);
+    return { status: 200, body: encodeReport(this.report()) };
+  }
+
+  /** Stands still for so long: nothing is executed, reported or answered. */
+  hang(length: Micros): void {
+    this.hungUntil = this.world.now() + length;
+  }
+
+  /** How long it still stands still. */
+  get hangsFor(): Micros {
+    return Math.max(0, this.hungUntil - this.world.now());
+  }
+
   /** Power is lost: it is silent from now on. */
   kill(): void {
     this.alive = false;
@@ -108,10 +139,15 @@
   }
 
   private note(t: LoopTask, done: boolean): void {
+    if (t.state !== 'exited' && t.state !== 'fetching') this.world.left?.(this.placed(t), done);
     if (t.since === null || t.state === 'exited') return;
     this.world.ran(t.job, t.index, this.name, this.world.now() - t.since, done);
   }
 
+  private placed({ job, index, attempt }: LoopTask): PlacedTask {
+    return { job, index, attempt, machine: this.name };
+  }
+
   private exit(t: LoopTask, cause: ReportedTask['cause']): void {
     this.note(t, cause === 'done');
     t.state = 'exited';
@@ -147,6 +183,7 @@
 
   private step(): void {
     const now = this.world.now();
+    if (now < this.hungUntil) return;
     if (now > this.answered + this.world.leaseUs) {
       this.world.leaseEnded?.(this.name);
       for (const t of this.tasks) this.note(t, false);
@@ -165,6 +202,7 @@
     if (spec === undefined) return;
     if (t.state === 'fetching') {
       t.state = spec.shape === 'gang' ? 'waiting' : 'running';
+      this.world.arrived?.(this.placed(t));
       this.begin(t, spec, now);
       this.changed();
     } else if (t.state === 'waiting') {
--- a/packages/emulator/src/loopback.ts
+++ b/packages/emulator/src/loopback.ts
@@ -9,7 +9,6 @@
 
 import { decodeActiveJob } from '@shaleyoke/core/codecs/job-codec';
 import { activeJobKey } from '@shaleyoke/core/codecs/keys';
-import type { CloudOperation, CloudReply } from '@shaleyoke/core/domain/cloud';
 import type { JobSpec } from '@shaleyoke/core/domain/job';
 import type { MachineType } from '@shaleyoke/core/domain/machine';
 import type { Micros } from '@shaleyoke/core/domain/time';
@@ -17,6 +16,7 @@
 import { asFields, decodeBody } from '@shaleyoke/protocol/body';
 
 import { controllerSettings } from './controller-settings.js';
+import { type Bill, LoopbackCloud } from './loopback-cloud.js';
 import { call, freePorts, type Served } from './loopback-http.js';
 import { serveCloud, serveState } from './loopback-stand-ins.js';
 import { LoopWorker, type WorkerWorld } from './loopback-workers.js';
@@ -48,14 +48,6 @@
   readonly done: boolean;
 }
 
-/** What the cloud charges for. */
-export interface Bill {
-  readonly machine: string;
-  readonly type: string;
-  readonly from: Micros;
-  to: Micros | null;
-}
-
 interface NodeProcess {
   readonly member: string;
   readonly address: string;
@@ -75,18 +67,15 @@
 const USER_MS = 5_000;
 
 export class Loopback {
-  readonly workers = new Map<string, LoopWorker>();
   readonly ran: Ran[] = [];
-  readonly bills: Bill[] = [];
   readonly state: StateModel;
   readonly nodes: NodeProcess[] = [];
   private readonly specs = new Map<string, JobSpec>();
-  private readonly bookings = new Map<string, string[]>();
   private readonly servers: Served[] = [];
   private readonly folder = mkdtempSync(join(tmpdir(), 'shaleyoke-'));
   private readonly begun = process.hrtime.bigint();
   private readonly timer: NodeJS.Timeout;
-  private nextMachine = 1;
+  private readonly cloud: LoopbackCloud;
   private stopping = false;
 
   constructor(private readonly o: LoopbackOptions) {
@@ -94,11 +83,29 @@
       () => this.now(),
       (run) => setImmediate(run),
     );
+    this.state.requestsPerSecond = STATE_RPS;
+    this.state.writesPerSecond = STATE_WRITE_RPS;
+    this.cloud = new LoopbackCloud({
+      now: () => this.now(),
+      types: o.types,
+      perZone: o.perZone,
+      isStopping: () => this.stopping,
+      makeWorker: (name, type, zone, spot) => this.makeWorker(name, type, zone, spot),
+    });
     this.timer = setInterval(() => {
       this.state.expire();
     }, 20);
   }
 
+  get workers(): ReadonlyMap<string, LoopWorker> {
+    return this.cloud.workers;
+  }
+
+  /** What the cloud charges for. */
+  get bills(): readonly Bill[] {
+    return this.cloud.bills;
+  }
+
   now(): Micros {
     return Number((process.hrtime.bigint() - this.begun) / 1000n);
   }
@@ -106,7 +113,7 @@
   /** Starts the servers, then the controllers. */
   async start(): Promise<void> {
     const state = await serveState(this.state);
-    const cloud = await serveCloud((op) => this.cloud(op));
+    const cloud = await serveCloud((op) => this.cloud.apply(op));
     this.servers.push(state, cloud);
     const ports = await freePorts(3 * this.o.nodes);
     const members = Array.from({ length: this.o.nodes }, (_, i) => ({
@@ -183,48 +190,9 @@
     return i < 0 ? null : i;
   }
 
-  // ---- cloud -------------------------------------------------------------------------------------
-
-  private cloud(op: CloudOperation): CloudReply {
-    switch (op.kind) {
-      case 'types':
-        return { kind: 'types', types: this.o.types };
-      case 'rent': {
-        const old = this.bookings.get(op.request);
-        if (old !== undefined) return { kind: 'rented', machines: old };
-        const type = this.o.types.find((t) => t.name === op.type);
-        const there = [...this.workers.values()].filter(
-          (w) => w.alive && w.type === op.type && w.zone === op.zone,
-        ).length;
-        const count = Math.min(op.count, this.o.perZone - there);
-        if (type === undefined || count <= 0) return { kind: 'noCapacity' };
-        const machines = Array.from({ length: count }, () => this.rent(type, op.zone, op.spot));
-        this.bookings.set(op.request, machines);
-        return { kind: 'rented', machines };
-      }
-      case 'delete':
-        for (const name of op.machines) this.killWorker(name);
-        return { kind: 'deleted' };
-      case 'list': {
-        const machines = [...this.workers.values()]
-          .filter((w) => w.alive && w.name > op.after)
-          .map((w) => ({
-            name: w.name,
-            address: w.address,
-            type: w.type,
-            zone: w.zone,
-            spot: w.spot,
-            state: w.address === '' ? ('booting' as const) : ('running' as const),
-            ageUs: this.now() - this.bills.find((b) => b.machine === w.name)!.from,
-          }));
-        return { kind: 'listed', machines: machines.slice(0, op.limit), more: machines.length > op.limit };
-      }
-    }
-  }
+  // ---- machines -----------------------------------------------------------------------------------
 
-  private rent(type: MachineType, zone: string, spot: boolean): string {
-    const name = `m-${String(this.nextMachine++).padStart(6, '0')}`;
-    this.bills.push({ machine: name, type: type.name, from: this.now(), to: null });
+  private makeWorker(name: string, type: string, zone: string, spot: boolean): LoopWorker {
     const world: WorkerWorld = {
       now: () => this.now(),
       // As its worker fetches it, whoever submitted the job.
@@ -238,20 +206,12 @@
       },
       call: (address, path, body) => call(address, 'POST', path, body, CALL_MS),
     };
-    const w = new LoopWorker(name, type.name, zone, spot, world);
-    this.workers.set(name, w);
-    setTimeout(() => {
-      if (w.alive && !this.stopping) void w.boot();
-    }, type.bootUs / 1000);
-    return name;
+    return new LoopWorker(name, type, zone, spot, world);
   }
 
   /** Power is lost, or the cloud took it back. */
   killWorker(name: string): void {
-    const w = this.workers.get(name);
-    if (w?.alive !== true) return;
-    w.kill();
-    this.bills.find((b) => b.machine === name)!.to = this.now();
+    this.cloud.kill(name);
   }
 
   // ---- users -------------------------------------------------------------------------------------
--- /dev/null
+++ b/packages/emulator/src/soak/soak-cluster.ts
@@ -0,0 +1,353 @@
+/**
+ * The deployment of a soak: controllers as real processes; store, cloud and workers in this process; and between any two
+ * parties a link that can fail. Each controller reaches the others through servers of its own here.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { decodeActiveJob } from '@shaleyoke/core/codecs/job-codec';
+import { activeJobKey } from '@shaleyoke/core/codecs/keys';
+import type { JobSpec } from '@shaleyoke/core/domain/job';
+import type { StoreReply } from '@shaleyoke/core/domain/key-value-store';
+import type { MachineType } from '@shaleyoke/core/domain/machine';
+import { type Micros, MILLI, SECOND } from '@shaleyoke/core/domain/time';
+
+import { controllerSettings } from '../controller-settings.js';
+import { LoopbackCloud } from '../loopback-cloud.js';
+import { type Asked, call, freePortsFrom, type Served } from '../loopback-http.js';
+import { LoopWorker, type WorkerWorld } from '../loopback-workers.js';
+import { Random } from '../random.js';
+import { StateModel } from '../state-model.js';
+import { type Answer, cloudOpOf, encodeCloudReply, encodeStateReply, stateOpOf } from '../wire.js';
+import { ControllerProcess } from './controller-process.js';
+import { FaultyLink } from './faulty-link.js';
+import type { MachineFacts, SoakEvent } from './history.js';
+import { serveThroughLink } from './link-server.js';
+
+/** The settings of a deployment. */
+export interface SoakClusterOptions {
+  readonly seed: number;
+  /** How to start a controller, up to `serve`. */
+  readonly program: readonly string[];
+  readonly controllers: number;
+  readonly workers: number;
+}
+
+/** The team of all jobs. */
+export const TEAM = 't';
+/** Time that the tasks of a cancelled job have. */
+export const CANCEL_MS = 30_000;
+const HEARTBEAT_S = 2;
+const LEASE_S = 12;
+const STORE_REQUESTS_PER_S = 300;
+const STORE_WRITES_PER_S = 80;
+const CLOUD_REQUESTS_PER_S = 6;
+/** Cores of each machine. */
+export const CORES_PER_MACHINE = 4;
+/** The team may use this share of all cores. */
+const TEAM_SHARE = 0.75;
+const PEER_TIMEOUT_MS = 5_000;
+const WORKER_TIMEOUT_MS = 4_000;
+const EXPIRY_INTERVAL_MS = 20;
+/** Seeds that are played at once listen on ports of their own. */
+const FIRST_PORT = 12_000;
+const PORT_BLOCKS = 300;
+const PORTS_PER_BLOCK = 64;
+const MEMBER_PREFIX = 'dock-';
+const UNAVAILABLE = 503;
+const REFUSED: StoreReply = { kind: 'failed', executed: false, cause: 'refused', reason: '503' };
+
+const TYPE: MachineType = {
+  name: 'box',
+  cores: CORES_PER_MACHINE,
+  gpus: 0,
+  memoryGb: 16,
+  imageCacheGb: 20,
+  imagePullGbPerS: 10,
+  price: 1,
+  spotPrice: 0.4,
+  bootUs: SECOND,
+  zones: ['zone-a', 'zone-b'],
+};
+
+/** Links of one controller to the parties that it calls, and of users and workers to it. */
+export interface ControllerLinks {
+  readonly toStore: FaultyLink;
+  readonly toCloud: FaultyLink;
+  readonly toPeers: FaultyLink;
+  readonly fromUsers: FaultyLink;
+  /** The store answers this controller with 503 until then. */
+  storeRefusedUntil: number;
+}
+
+/** Links of one worker. */
+export interface WorkerLinks {
+  readonly heartbeats: FaultyLink;
+  readonly commands: FaultyLink;
+}
+
+/** A deployment on loopback. */
+export class SoakCluster {
+  readonly controllers: ControllerProcess[] = [];
+  readonly links: ControllerLinks[] = [];
+  readonly machines = new Map<string, MachineFacts>();
+  readonly specs = new Map<string, JobSpec>();
+  /** Cores that the tasks of the team may use. */
+  readonly teamCores: number;
+  readonly store: StateModel;
+  readonly cloud: LoopbackCloud;
+  cloudDownUntil = 0;
+  private readonly workerLinks = new Map<string, WorkerLinks>();
+  private readonly servers: Served[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), 'shaleyoke-soak-'));
+  private readonly beganAt = performance.now();
+  private readonly random: Random;
+  private readonly expiry: NodeJS.Timeout;
+  private stopping = false;
+
+  constructor(
+    private readonly options: SoakClusterOptions,
+    private readonly record: (event: SoakEvent) => void,
+  ) {
+    this.random = new Random(options.seed + 1);
+    this.teamCores = Math.floor(options.workers * CORES_PER_MACHINE * TEAM_SHARE);
+    this.store = new StateModel(
+      () => this.nowUs(),
+      (run) => setImmediate(run),
+    );
+    this.store.requestsPerSecond = STORE_REQUESTS_PER_S;
+    this.store.writesPerSecond = STORE_WRITES_PER_S;
+    this.cloud = new LoopbackCloud({
+      now: () => this.nowUs(),
+      isStopping: () => this.stopping,
+      types: [TYPE],
+      perZone: Math.ceil(options.workers / TYPE.zones.length),
+      makeWorker: (name, type, zone, spot) => this.makeWorker(name, type, zone, spot),
+    });
+    this.expiry = setInterval(() => {
+      this.store.expire();
+    }, EXPIRY_INTERVAL_MS);
+  }
+
+  /** Milliseconds since the beginning. */
+  now(): number {
+    return Math.round(performance.now() - this.beganAt);
+  }
+
+  private nowUs(): Micros {
+    return Math.round((performance.now() - this.beganAt) * MILLI);
+  }
+
+  /** A link without troubles. */
+  makeLink(): FaultyLink {
+    return new FaultyLink(this.random, () => this.now());
+  }
+
+  /** Starts the servers, then the controllers. */
+  async start(): Promise<void> {
+    const count = this.options.controllers;
+    const firstPort = FIRST_PORT + (this.options.seed % PORT_BLOCKS) * PORTS_PER_BLOCK;
+    const ports = await freePortsFrom(firstPort, 2 * count);
+    const members = Array.from({ length: count }, (_, i) => ({
+      member: `${MEMBER_PREFIX}${i}`,
+      address: `127.0.0.1:${ports[2 * i]}`,
+      peerAddress: `127.0.0.1:${ports[2 * i + 1]}`,
+    }));
+    for (const [i, place] of members.entries()) {
+      const links: ControllerLinks = {
+        toStore: this.makeLink(),
+        toCloud: this.makeLink(),
+        toPeers: this.makeLink(),
+        fromUsers: this.makeLink(),
+        storeRefusedUntil: 0,
+      };
+      this.links.push(links);
+      const peers = await Promise.all(
+        members.filter((_, k) => k !== i).map((peer) => this.servePeer(links, peer)),
+      );
+      const configFile = join(this.folder, `${place.member}.toml`);
+      writeFileSync(configFile, await this.settingsOf(place, peers, links));
+      this.controllers.push(this.makeController({ ...place, configFile }));
+    }
+    for (const controller of this.controllers) controller.start();
+  }
+
+  /** The controller that leads, as the store knows it; null if none does. */
+  leader(): ControllerProcess | null {
+    const record = this.store.value('lead') as { member?: string } | undefined;
+    return this.controllers.find(({ place }) => place.member === record?.member) ?? null;
+  }
+
+  /** Workers that are up. */
+  workersUp(): LoopWorker[] {
+    return [...this.cloud.workers.values()].filter((worker) => worker.alive && worker.address !== '');
+  }
+
+  /** The links of a worker. */
+  linksOf(machine: string): WorkerLinks {
+    const known = this.workerLinks.get(machine);
+    if (known !== undefined) return known;
+    const links = { heartbeats: this.makeLink(), commands: this.makeLink() };
+    this.workerLinks.set(machine, links);
+    return links;
+  }
+
+  /** Ends the troubles of all links. */
+  heal(): void {
+    for (const links of this.links) {
+      for (const link of [links.toStore, links.toCloud, links.toPeers, links.fromUsers]) link.heal();
+      links.storeRefusedUntil = 0;
+    }
+    for (const { heartbeats, commands } of this.workerLinks.values()) {
+      heartbeats.heal();
+      commands.heal();
+    }
+    this.cloudDownUntil = 0;
+  }
+
+  /** Ends everything that it started, and removes its files. */
+  stop(): void {
+    this.stopping = true;
+    clearInterval(this.expiry);
+    for (const controller of this.controllers) controller.stop();
+    for (const worker of this.cloud.workers.values()) if (worker.alive) worker.kill();
+    for (const server of this.servers) server.close();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private makeController(place: ControllerProcess['place']): ControllerProcess {
+    return new ControllerProcess(place, this.options.program, {
+      onEnd: (controller, code) => {
+        this.record({ kind: 'controllerEnded', at: this.now(), controller, code });
+      },
+      onError: (controller, event, line) => {
+        this.record({ kind: 'errorLogged', at: this.now(), controller, event, line });
+      },
+    });
+  }
+
+  private async settingsOf(
+    place: { readonly member: string; readonly address: string; readonly peerAddress: string },
+    peers: readonly { readonly member: string; readonly address: string }[],
+    links: ControllerLinks,
+  ): Promise<string> {
+    const store = await this.serveStore(links);
+    const cloud = await this.serveCloud(links);
+    return controllerSettings({
+      member: place.member,
+      listen: place.address,
+      peerListen: place.peerAddress,
+      peers,
+      cloud,
+      state: store,
+      teams: [],
+      more: `[[cluster.teams]]\nname = "${TEAM}"\ncpus_max = ${this.teamCores}.0\n`,
+      reportS: HEARTBEAT_S,
+      leaseS: LEASE_S,
+      cancelS: CANCEL_MS / 1_000,
+      stateRps: STORE_REQUESTS_PER_S,
+      stateWriteRps: STORE_WRITES_PER_S,
+      cloudRps: CLOUD_REQUESTS_PER_S,
+    });
+  }
+
+  // ---- servers -------------------------------------------------------------------------------------
+
+  /** Serves requests through a link; returns the address. */
+  private async serveThrough(
+    link: FaultyLink,
+    execute: (request: Asked) => Promise<Answer | null>,
+  ): Promise<string> {
+    const server = await serveThroughLink(link, execute);
+    this.servers.push(server);
+    return server.address;
+  }
+
+  private serveStore(links: ControllerLinks): Promise<string> {
+    return this.serveThrough(links.toStore, ({ method, url, body }) => {
+      const operation = stateOpOf(method, url, body);
+      if (links.storeRefusedUntil > this.now()) return Promise.resolve(encodeStateReply(operation, REFUSED));
+      if (operation.kind !== 'watch')
+        return Promise.resolve(encodeStateReply(operation, this.store.apply(operation)));
+      return new Promise((resolve) => {
+        this.store.watch(operation, (reply) => {
+          resolve(encodeStateReply(operation, reply));
+        });
+      });
+    });
+  }
+
+  private serveCloud(links: ControllerLinks): Promise<string> {
+    return this.serveThrough(links.toCloud, ({ method, url, body }) => {
+      const isDown = this.cloudDownUntil > this.now();
+      const answer = isDown
+        ? { status: UNAVAILABLE, body: Buffer.alloc(0) }
+        : encodeCloudReply(this.cloud.apply(cloudOpOf(method, url, body)));
+      return Promise.resolve(answer);
+    });
+  }
+
+  private async servePeer(
+    links: ControllerLinks,
+    peer: { readonly member: string; readonly peerAddress: string },
+  ): Promise<{ member: string; address: string }> {
+    const address = await this.serveThrough(links.toPeers, ({ method, url, body }) =>
+      call(peer.peerAddress, method, url, body, PEER_TIMEOUT_MS),
+    );
+    return { member: peer.member, address };
+  }
+
+  // ---- workers -------------------------------------------------------------------------------------
+
+  private makeWorker(name: string, type: string, zone: string, spot: boolean): LoopWorker {
+    this.machines.set(name, { type, zone, spot });
+    const { heartbeats, commands } = this.linksOf(name);
+    const world: WorkerWorld = {
+      now: () => this.nowUs(),
+      spec: (job) => this.specs.get(job) ?? decodeActiveJob(this.store.value(activeJobKey(job)))?.spec,
+      nodes: this.controllers.map(({ place }) => place),
+      reportUs: HEARTBEAT_S * SECOND,
+      leaseUs: LEASE_S * SECOND,
+      workers: this.cloud.workers,
+      ran: () => undefined,
+      arrived: (task) => {
+        this.record({ kind: 'arrived', at: this.now(), done: false, ...task });
+      },
+      left: (task, done) => {
+        this.record({ kind: 'left', at: this.now(), done, ...task });
+      },
+      call: (address, path, body) => this.callController(heartbeats, address, path, body),
+      carryCommand: (machine, execute) =>
+        commands.carry(async () => {
+          await this.waitWhileHanging(machine);
+          return execute();
+        }),
+    };
+    return new LoopWorker(name, type, zone, spot, world);
+  }
+
+  private async waitWhileHanging(machine: string): Promise<void> {
+    const worker = this.cloud.workers.get(machine);
+    while (worker !== undefined && worker.hangsFor > 0) {
+      const { hangsFor } = worker;
+      await new Promise((resolve) => setTimeout(resolve, hangsFor / MILLI));
+    }
+  }
+
+  /** A worker gives a heartbeat up after four seconds, whatever becomes of it on its way. */
+  private callController(
+    link: FaultyLink,
+    address: string,
+    path: string,
+    body: Buffer,
+  ): Promise<Answer | null> {
+    const timeout = new Promise<null>((resolve) => {
+      setTimeout(() => {
+        resolve(null);
+      }, WORKER_TIMEOUT_MS);
+    });
+    const answer = link.carry(() => call(address, 'POST', path, body, WORKER_TIMEOUT_MS));
+    return Promise.race([answer, timeout]);
+  }
+}
--- a/packages/emulator/src/wire.ts
+++ b/packages/emulator/src/wire.ts
@@ -124,7 +124,7 @@
     case 'refused':
       return answer(400, { error: r.reason });
     case 'failed':
-      return answer(503);
+      return answer(r.cause === 'busy' ? 429 : 503);
   }
 };
 
--- a/packages/emulator/test/scale.test.ts
+++ b/packages/emulator/test/scale.test.ts
@@ -5,6 +5,7 @@
 
 import { capacityRows, capacityTable, withTable } from '../src/scale/capacity.js';
 import { runHollow } from '../src/scale/hollow.js';
+import { measurePollLoad } from '../src/scale/poll-load.js';
 import { measureSize } from '../src/scale/slopes.js';
 import { fitLine, summarize } from '../src/scale/statistics.js';
 import { readMeasurements } from '../src/scale/stored.js';
@@ -26,6 +27,8 @@
       /half of the machine's memory/,
     ],
     [['hollow', '--colour', 'red'], /unknown option/],
+    [['polls', '--jobs', '0'], /--jobs.*1 to/],
+    [['polls', '--jobs', '500,x'], /--jobs.*whole number/],
     [['sleep'], /unknown command/],
     [['capacity', 'docs/CAPACITY.md', '/no/such/folder'], /error: .*\/no\/such\/folder/],
   ];
@@ -51,6 +54,16 @@
   assert.ok(size.takeover.readyAfterS !== null);
 });
 
+test('polls are measured as usual and after a restart', () => {
+  const { warm, cold, brokenRules } = measurePollLoad({ jobs: 60, controllers: 3, seed: 2 });
+  assert.deepEqual(brokenRules, []);
+  for (const phase of [warm, cold]) {
+    assert.ok(phase.answered > 0.95 * phase.polls, `${phase.answered} of ${phase.polls}`);
+    assert.ok(phase.longestUnansweredS < 15, `${phase.longestUnansweredS} s`);
+  }
+  assert.ok(warm.requestsPerAnswer < 1.5, `${warm.requestsPerAnswer}`);
+});
+
 test('a hundred hollow workers, real controllers, and the leader killed', async () => {
   const report = await runHollow({
     workers: 100,
--- a/packages/emulator/tools/scale.ts
+++ b/packages/emulator/tools/scale.ts
@@ -2,6 +2,7 @@
  * Measures how the costs of control grow with the size of a deployment. Machines, cloud and state service are emulated.
  *
  *     npx tsx packages/emulator/tools/scale.ts slopes --machines 300,1000,3000 --out slopes.json
+ *     npx tsx packages/emulator/tools/scale.ts polls --jobs 500,2000,8000
  *     npx tsx packages/emulator/tools/scale.ts hollow --workers 1000 --starts 200 --out hollow.json
  */
 import { spawnSync } from 'node:child_process';
@@ -13,6 +14,7 @@
 
 import { capacityRows, capacityTable, type Stored, withTable } from '../src/scale/capacity.js';
 import { runHollow } from '../src/scale/hollow.js';
+import { measurePollLoad } from '../src/scale/poll-load.js';
 import { measureSize, type SizeReport } from '../src/scale/slopes.js';
 import { fitLine } from '../src/scale/statistics.js';
 import { readMeasurements } from '../src/scale/stored.js';
@@ -25,6 +27,7 @@
   new URL('../../cli/src/main.ts', import.meta.url).pathname,
 ];
 const MOST_MACHINES = 20_000;
+const MOST_POLLED_JOBS = 20_000;
 const MOST_BURST_TASKS = 40_000;
 /** Tasks of a burst for each machine, where the command line does not say. */
 const BURST_PER_MACHINE = 1.5;
@@ -187,6 +190,48 @@
   .option('--seed <number>', 'seed of the emulated world', wholeNumber('--seed', 2 ** 31), 1)
   .option('--out <file>', 'where the result goes as JSON', writableFile)
   .action(slopes);
+interface PollsOptions {
+  readonly jobs: number[];
+  readonly controllers: number;
+  readonly seed: number;
+  readonly out?: string;
+}
+
+const polls = ({ jobs, controllers, seed, out }: PollsOptions): void => {
+  const reports = jobs.map((count) => measurePollLoad({ jobs: count, controllers, seed }));
+  console.log('jobs | phase | answered | p50/p99 ms | longest unanswered s | requests | requests/answer');
+  for (const { jobs: count, warm, cold, idleRequests } of reports) {
+    for (const [phase, figures] of Object.entries({ warm, cold })) {
+      const answered = `${figures.answered} of ${figures.polls}`;
+      const latency = `${figures.latencyP50Ms.toFixed(0)}/${figures.latencyP99Ms.toFixed(0)}`;
+      const requests = `${figures.storeRequests} (idle ${idleRequests})`;
+      const unanswered = figures.longestUnansweredS.toFixed(1);
+      const each = figures.requestsPerAnswer.toFixed(3);
+      console.log([count, phase, answered, latency, unanswered, requests, each].join(' | '));
+    }
+  }
+  if (out !== undefined) store(out, reports);
+  if (reports.some(({ brokenRules }) => brokenRules.length > 0)) {
+    console.error('rules broken:', reports.flatMap(({ brokenRules }) => brokenRules).join('; '));
+    process.exitCode = 1;
+  }
+};
+
+program
+  .command('polls')
+  .description(
+    'what polls of unfinished jobs cost the store, as usual and after a restart, in simulated time',
+  )
+  .option(
+    '--jobs <list>',
+    'numbers of unfinished jobs, separated by commas',
+    listOf(wholeNumber('--jobs', MOST_POLLED_JOBS)),
+    [500, 2000, 8000],
+  )
+  .option('--controllers <count>', 'controllers', wholeNumber('--controllers', 9), 3)
+  .option('--seed <number>', 'seed of the emulated world', wholeNumber('--seed', 2 ** 31), 1)
+  .option('--out <file>', 'where the result goes as JSON', writableFile)
+  .action(polls);
 program
   .command('capacity')
   .description('makes the table of a page anew from stored results')
