Gauges of each process: event loop delay, open requests, the budget of the store

node.summarized, every 10 s: how late timers fired, requests that wait for an answer, calls that wait in the rate limiter and for how long, calls admitted, given up and rejected, and the used share of the budget. After an incident these tell overload from a store that does not answer.

--- a/packages/controller/src/clients.ts
+++ b/packages/controller/src/clients.ts
@@ -14,7 +14,7 @@
 import { steadyNow } from './clock.js';
 import { CloudClient } from './cloud-client.js';
 import { callHttp, makeAgent } from './http-client.js';
-import { RateLimiter } from './rate-limiter.js';
+import { RateLimiter, type RateLimiterSummary } from './rate-limiter.js';
 import { StoreClient } from './store-client.js';
 
 /** Calls to outside systems. None of them fails: a call without an answer has a reply that says so. */
@@ -30,6 +30,8 @@
   readonly sendToPeer: (member: string, message: PeerMessage) => Effect.Effect<void>;
   /** The leader gets the larger share of the request budgets. */
   readonly setRole: (isLeader: boolean) => void;
+  /** What the budget of the store has let through since the last time. */
+  readonly takeStoreSummary: () => RateLimiterSummary;
 }
 
 /** The tag under which the clients are provided. */
@@ -74,6 +76,7 @@
       const call = { method: 'POST', ...encodePeerMessage(message) } as const;
       return Effect.asVoid(callHttp(peerAgent, peer.address, call, PEER_TIMEOUT));
     },
+    takeStoreSummary: () => storeLimiter.takeSummary(),
     setRole: (isLeader) => {
       const { requests, writes, cloud: cloudShare } = budgetShares(memberCount, isLeader);
       storeLimiter.setRates(storeRequestsPerS * requests, storeWritesPerS * writes);
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -15,6 +15,7 @@
 import { steadyNow, wallNow } from './clock.js';
 import type { ServerRequest, ServerResponse } from './http-server.js';
 import type { LogService } from './log.js';
+import { ProcessMetrics } from './process-metrics.js';
 
 /** Calls back with the response of a request. */
 export type Respond = (response: ServerResponse) => void;
@@ -24,6 +25,8 @@
 type OnFeatureAnswer = (answer: unknown, last: boolean) => void;
 
 const UNAVAILABLE = 503;
+/** How often the gauges of the process are logged. */
+const SUMMARY_INTERVAL_MS = 10_000;
 const ACCEPTED: ServerResponse = { status: 200, body: Buffer.alloc(0) };
 
 const emptyResponse = (status: number): ServerResponse => ({ status, body: encodeBody({}) });
@@ -38,6 +41,7 @@
   private nextRequest = 1;
   private timer: NodeJS.Timeout | null = null;
   private wakeAt: Micros = 0;
+  private readonly metrics: ProcessMetrics;
 
   constructor(
     settings: Settings,
@@ -47,11 +51,23 @@
     features: readonly Feature[],
   ) {
     this.core = new Core(settings, steadyNow, log.verbose, features);
+    this.metrics = new ProcessMetrics(() => ({
+      openRequests: this.waiting.size,
+      store: { ...clients.takeStoreSummary() },
+    }));
   }
 
   /** Starts the core. To be called once everything listens. */
   start(): void {
     this.step({ kind: 'start', wallUs: wallNow() });
+    this.scheduleSummary();
+  }
+
+  private scheduleSummary(): void {
+    setTimeout(() => {
+      this.log.write('info', 'node.summarized', this.metrics.takeSummary());
+      this.scheduleSummary();
+    }, SUMMARY_INTERVAL_MS);
   }
 
   /** A request of a user, a worker or a health check. */
@@ -211,6 +227,7 @@
     const delayMs = Math.max(1, Math.ceil((at - steadyNow()) / MILLI));
     this.timer = setTimeout(() => {
       this.timer = null;
+      this.metrics.recordTimer(at, steadyNow());
       this.step({ kind: 'timer' });
     }, delayMs);
   }
--- a/packages/controller/src/rate-limiter.ts
+++ b/packages/controller/src/rate-limiter.ts
@@ -10,6 +10,7 @@
 interface WaitingCall {
   readonly urgency: RequestUrgency;
   readonly writes: number;
+  readonly arrivedAt: Micros;
   readonly giveUpAt: Micros;
   readonly run: (admitted: boolean) => void;
 }
@@ -38,6 +39,20 @@
   setTimeout(run, delay / MILLI);
 };
 
+/** What a limiter has done since it was last asked. */
+export interface RateLimiterSummary {
+  /** Calls that wait now, and how long the oldest has waited, in milliseconds. */
+  readonly waiting: number;
+  readonly oldestMs: number;
+  readonly admitted: number;
+  /** Calls that were given up before they were sent. */
+  readonly givenUp: number;
+  /** Calls that the service rejected. */
+  readonly rejected: number;
+  /** The share of the budget that is used. */
+  readonly usedShare: number;
+}
+
 /** Admits calls to one service. */
 export class RateLimiter {
   private readonly requests: TokenBucket;
@@ -51,6 +66,7 @@
   /** The share of the rates that is used. */
   private readonly usedShare = { requests: 1, writes: 1 };
   private shareChangedAt: Micros = 0;
+  private counts = { admitted: 0, givenUp: 0, rejected: 0 };
 
   constructor(
     requestsPerS: number,
@@ -75,6 +91,7 @@
    */
   recordRejection(wrote: boolean): void {
     const now = this.now();
+    this.counts.rejected++;
     this.pausedUntil = Math.max(this.pausedUntil, now + REJECTION_PAUSE);
     this.rejectedAt = this.rejectedAt.filter((at) => at > now - REJECTION_WINDOW);
     this.rejectedAt.push(now);
@@ -88,13 +105,27 @@
 
   /** Calls back with true once the call may be sent, or with false when it has waited for too long. */
   admit(urgency: RequestUrgency, writes: number, run: (admitted: boolean) => void): void {
-    const call: WaitingCall = { urgency, writes, giveUpAt: this.now() + MAX_WAIT[urgency], run };
+    const arrivedAt = this.now();
+    const call: WaitingCall = { urgency, writes, arrivedAt, giveUpAt: arrivedAt + MAX_WAIT[urgency], run };
     let position = this.queue.length;
     while (position > 0 && this.queue[position - 1]!.urgency > urgency) position--;
     this.queue.splice(position, 0, call);
     this.serve();
   }
 
+  /** What was done since the last summary. */
+  takeSummary(): RateLimiterSummary {
+    const oldest = this.queue.reduce((earliest, { arrivedAt }) => Math.min(earliest, arrivedAt), this.now());
+    const summary = {
+      waiting: this.queue.length,
+      oldestMs: Math.round((this.now() - oldest) / MILLI),
+      ...this.counts,
+      usedShare: this.usedShare.requests,
+    };
+    this.counts = { admitted: 0, givenUp: 0, rejected: 0 };
+    return summary;
+  }
+
   private applyRates(): void {
     const now = this.now();
     this.requests.setRate(this.rates.requests * this.usedShare.requests, now);
@@ -121,9 +152,12 @@
       if (this.mayRun(call, now, writesHeld)) {
         this.requests.take(1);
         this.writes.take(call.writes);
+        this.counts.admitted++;
         call.run(true);
-      } else if (now >= call.giveUpAt) call.run(false);
-      else {
+      } else if (now >= call.giveUpAt) {
+        this.counts.givenUp++;
+        call.run(false);
+      } else {
         // Writes of the same or lower urgency don't overtake one that waits for a fuller bucket.
         writesHeld ||= call.writes > 0;
         held.push(call);
