--- a/packages/core/src/api/active-job-sweep.ts
+++ b/packages/core/src/api/active-job-sweep.ts
@@ -11,7 +11,9 @@
 /** Records that one request asks for. */
 const PAGE_ITEMS = 500;
 /** Fewer missing records than this are read one by one. */
-const MIN_MISSING = 4;
+const MIN_MISSING = 8;
+/** A page takes as much of a controller as several single reads, so that it has to spare more than one. */
+const READS_PER_PAGE = 2;
 
 /** One sweep at a time over the active jobs. */
 export class ActiveJobSweep {
@@ -32,9 +34,9 @@
     return this.underWay;
   }
 
-  /** Whether a sweep takes fewer requests than so many single reads. */
+  /** Whether a sweep costs less than so many single reads. */
   isWorthwhile(missing: number): boolean {
-    return missing >= Math.max(MIN_MISSING, this.pagesOfLastSweep);
+    return missing >= Math.max(MIN_MISSING, READS_PER_PAGE * this.pagesOfLastSweep);
   }
 
   /** Begins a sweep. `then` is called at its end, with whether all pages were read. */
--- a/packages/core/src/api/linearizable-reads.ts
+++ b/packages/core/src/api/linearizable-reads.ts
@@ -219,6 +219,7 @@
 
   /** Jobs may have become suspect after their polls arrived. */
   private moveSuspects(): void {
+    if (this.suspects.count === 0) return;
     const { pending } = this.regularLane;
     for (const polls of pending.inOrder()) {
       if (!this.suspects.isSuspect(polls.id)) continue;
--- a/packages/core/src/api/pending-polls.ts
+++ b/packages/core/src/api/pending-polls.ts
@@ -75,7 +75,7 @@
 
   /** When the oldest waiting poll arrived; null: none waits. */
   get oldestArrival(): Micros | null {
-    const oldest = Math.min(...[...this.repeated.values(), ...this.fresh.values()].map(oldestOf));
+    const oldest = oldestOf(this.inOrder().flatMap(({ requests }) => requests));
     return oldest === Infinity ? null : oldest;
   }
 }
--- a/packages/core/src/api/validation-lane.ts
+++ b/packages/core/src/api/validation-lane.ts
@@ -24,6 +24,7 @@
 export class ValidationLane {
   readonly pending = new PendingPolls();
   private readonly gatherUs: Micros;
+  private readonly backlogGatherUs: Micros;
   private readonly maxJobs: number;
   /** Whether a validation is scheduled or under way. */
   private isBusy = false;
@@ -35,7 +36,8 @@
   ) {
     const requestsPerSecond = REQUEST_SHARE * context.settings.storeRequestsPerS;
     this.gatherUs = Math.max(MIN_GATHER_US, Math.round(SECOND / requestsPerSecond));
-    const batches = Math.ceil((MAX_QUEUE_US * BACKLOG_SPEED_UP) / this.gatherUs);
+    this.backlogGatherUs = Math.round(this.gatherUs / BACKLOG_SPEED_UP);
+    const batches = Math.ceil(MAX_QUEUE_US / this.backlogGatherUs);
     this.maxJobs = batches * validator.conditionLimit;
   }
 
@@ -69,6 +71,7 @@
     this.isBusy = false;
     const waiting = this.pending.jobCount;
     if (waiting === 0) return;
-    this.schedule(waiting > this.validator.conditionLimit ? this.gatherUs / BACKLOG_SPEED_UP : this.gatherUs);
+    const isBacklogged = waiting > this.validator.conditionLimit;
+    this.schedule(isBacklogged ? this.backlogGatherUs : this.gatherUs);
   }
 }
