Runs of the soak never share ports

Change: a run holds the first port of its block for as long as it lasts, and goes on to the next block if that is taken.

--- /dev/null
+++ b/packages/emulator/src/soak/port-block.ts
@@ -0,0 +1,32 @@
+/**
+ * Ports for the controllers of one run, in a block that no other run on this machine uses: two runs that shared ports talked to
+ * each other's controllers. All are below those that the system gives out.
+ */
+import { freePortsFrom, serve, type Served } from '../loopback-http.js';
+
+const FIRST_PORT = 12_000;
+const PORT_BLOCKS = 300;
+const PORTS_PER_BLOCK = 64;
+
+/** Ports, and the server that holds their block as long as it is open. */
+export interface ReservedPorts {
+  readonly ports: readonly number[];
+  readonly lock: Served;
+}
+
+const tryToLock = async (port: number): Promise<Served | null> => {
+  try {
+    return await serve(`127.0.0.1:${port}`, () => undefined);
+  } catch {
+    return null;
+  }
+};
+
+/** Reserves ports; the search for a block begins at the given one. */
+export const reservePorts = async (firstBlock: number, count: number): Promise<ReservedPorts> => {
+  for (let block = firstBlock; ; block++) {
+    const first = FIRST_PORT + (block % PORT_BLOCKS) * PORTS_PER_BLOCK;
+    const lock = await tryToLock(first);
+    if (lock !== null) return { ports: await freePortsFrom(first + 1, count), lock };
+  }
+};
--- a/packages/emulator/src/soak/soak-cluster.ts
+++ b/packages/emulator/src/soak/soak-cluster.ts
@@ -15,7 +15,7 @@
 
 import { controllerSettings } from '../controller-settings.js';
 import { LoopbackCloud } from '../loopback-cloud.js';
-import { type Asked, call, freePortsFrom, type Served } from '../loopback-http.js';
+import { type Asked, call, type Served } from '../loopback-http.js';
 import { LoopWorker, type WorkerWorld } from '../loopback-workers.js';
 import { Random } from '../random.js';
 import { StateModel } from '../state-model.js';
@@ -24,6 +24,7 @@
 import { FaultyLink } from './faulty-link.js';
 import type { MachineFacts, SoakEvent } from './history.js';
 import { serveThroughLink } from './link-server.js';
+import { reservePorts } from './port-block.js';
 
 /** The settings of a deployment. */
 export interface SoakClusterOptions {
@@ -50,10 +51,6 @@
 const PEER_TIMEOUT_MS = 5_000;
 const WORKER_TIMEOUT_MS = 4_000;
 const EXPIRY_INTERVAL_MS = 20;
-/** Seeds that are played at once listen on ports of their own. */
-const FIRST_PORT = 12_000;
-const PORT_BLOCKS = 300;
-const PORTS_PER_BLOCK = 64;
 const MEMBER_PREFIX = 'dock-';
 const UNAVAILABLE = 503;
 const REFUSED: StoreReply = { kind: 'failed', executed: false, cause: 'refused', reason: '503' };
@@ -147,8 +144,8 @@
   /** Starts the servers, then the controllers. */
   async start(): Promise<void> {
     const count = this.options.controllers;
-    const firstPort = FIRST_PORT + (this.options.seed % PORT_BLOCKS) * PORTS_PER_BLOCK;
-    const ports = await freePortsFrom(firstPort, 2 * count);
+    const { ports, lock } = await reservePorts(this.options.seed, 2 * count);
+    this.servers.push(lock);
     const members = Array.from({ length: count }, (_, i) => ({
       member: `${MEMBER_PREFIX}${i}`,
       address: `127.0.0.1:${ports[2 * i]}`,
--- a/packages/emulator/test/soak.test.ts
+++ b/packages/emulator/test/soak.test.ts
@@ -8,6 +8,7 @@
 import { checkHistory, type Violation } from '../src/soak/checkers.js';
 import { FaultyLink } from '../src/soak/faulty-link.js';
 import type { AskedEvent, SoakEvent, SoakHistory, TaskEvent } from '../src/soak/history.js';
+import { reservePorts } from '../src/soak/port-block.js';
 import { resultOf } from '../src/soak/soak-run.js';
 import { describeTroubles, drawTroubles, TROUBLE_KINDS } from '../src/soak/trouble-schedule.js';
 import { specOf } from '../src/specs.js';
@@ -294,6 +295,14 @@
   assert.equal(executed, 3);
 });
 
+test('two runs never share ports', async () => {
+  const first = await reservePorts(290, 6);
+  const second = await reservePorts(290, 6);
+  first.lock.close();
+  second.lock.close();
+  assert.equal(new Set([...first.ports, ...second.ports]).size, 12);
+});
+
 test('wrong arguments of the soak are named before anything starts', async () => {
   const soak = toolOf([
     process.execPath,
