--- a/review/lib/wire.mjs
+++ b/review/lib/wire.mjs
@@ -1,6 +1,7 @@
 /** HTTP with MessagePack bodies on loopback addresses, for the stand-ins. */
 import { Buffer } from 'node:buffer';
 import * as http from 'node:http';
+import * as net from 'node:net';
 import { clearTimeout, setTimeout } from 'node:timers';
 import { URL } from 'node:url';
 
@@ -54,11 +55,19 @@
     });
   });
 
-/** Free loopback ports. */
+const isFree = (port) =>
+  new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+
+/** Free loopback ports, below those that the system gives out by itself, so that they stay free while a controller is down. */
 export const freePorts = async (count) => {
-  const servers = await Promise.all(Array.from({ length: count }, () => serve(() => undefined)));
-  for (const server of servers) server.close();
-  return servers.map((server) => Number(server.address.split(':')[1]));
+  const ports = [];
+  for (let port = 11_000 + Math.floor(Math.random() * 19_000); ports.length < count; port++)
+    if (await isFree(port)) ports.push(port);
+  return ports;
 };
 
 /** Sends one request. Resolves to `{ status, body, headers }`, or null without an answer in time. */
