Refuse bodies that announce more values than they have bytes

What callers saw: a malformed submission of ten bytes got no answer instead of 400, and ended the controller that got it (SIGABRT, heap out of memory).

Cause: the MessagePack decoder makes an array for as many items as its header announces before it reads them, and decodeBody gave it no bound. What counts is what a whole body announces.

Change: before decoding, areAnnouncedSizesPossible passes over the headers and refuses a body as soon as the values announced and not reached yet outnumber the bytes left. Each value takes at least one byte, so that nothing decodable is refused, and all that the decoder reserves is proportional to the body. The library has no hook for a bound on a whole body. The check holds for submissions, reports and replies, which share decodeBody.

--- a/packages/protocol/src/body.ts
+++ b/packages/protocol/src/body.ts
@@ -1,6 +1,8 @@
 /** MessagePack message bodies and validated access to their fields. All readers throw `MalformedMessageError`. */
 import { decode, encode } from '@msgpack/msgpack';
 
+import { areAnnouncedSizesPossible } from './announced-sizes.js';
+
 /** A map from a decoded message, whose fields are not validated yet. */
 export type Fields = Readonly<Record<string, unknown>>;
 
@@ -16,8 +18,10 @@
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 };
 
-/** Decodes a MessagePack body; its fields are validated by the readers below. */
+/** Decodes a MessagePack body; its fields are validated by the readers below. The memory that it takes is proportional to its length. */
 export const decodeBody = (bytes: Uint8Array): unknown => {
+  if (!areAnnouncedSizesPossible(bytes))
+    throw new MalformedMessageError('not MessagePack: shorter than the sizes that it announces');
   try {
     return decode(bytes);
   } catch {
