Refuse messages between controllers with more items than bytes

What callers saw: a message of 7 bytes on /peer/v1, or of 12 on /peer/v2/beat, got no answer and ended the controller that got it. With a count of 2^31 items the event loop stood for 1.1 to 1.6 s before that.

Cause: the Avro library's reader of arrays makes an array for as many items as the first block announces. Its readers go on past the end of the bytes, where they find zeros, and the message is checked only as a whole.

Change: decodeAvroRecord reads the fields of a record one by one with the library, each of which must end within the bytes, and reads arrays itself: a block with more items than bytes left is refused. An item takes at least one byte. The bytes sent are the same, and so are the messages accepted; a test holds arrays in several blocks, with and without their sizes.

--- a/packages/emulator/src/loopback.ts
+++ b/packages/emulator/src/loopback.ts
@@ -61,6 +61,8 @@
 interface NodeProcess {
   readonly member: string;
   readonly address: string;
+  /** Address for the other controllers. */
+  readonly peerAddress: string;
   /** Path of its settings file. */
   readonly config: string;
   /** Address for Kubernetes clients; empty: there is none. */
@@ -165,7 +167,14 @@
       const kubeSettings = this.options.kube?.(member.kube);
       if (kubeSettings !== undefined) writeFileSync(this.kubeFile(member.member), kubeSettings);
       const kube = kubeSettings === undefined ? '' : `127.0.0.1:${member.kube}`;
-      this.nodes.push({ member: member.member, address: member.listen, config, kube, child: null });
+      this.nodes.push({
+        member: member.member,
+        address: member.listen,
+        peerAddress: member.peer,
+        config,
+        kube,
+        child: null,
+      });
     }
     if (this.options.budgets !== null) writeFileSync(this.budgetsFile, this.options.budgets);
     for (const node of this.nodes) this.launch(node);
--- a/packages/emulator/src/malformed-bodies.ts
+++ b/packages/emulator/src/malformed-bodies.ts
@@ -73,3 +73,38 @@
   { name: 'the key __proto__', bytes: fromHex('81 a95f5f70726f746f5f5f 90') },
   { name: 'trailing bytes', bytes: fromHex('80 ddffffffff') },
 ];
+
+/** The first fields of a progress update, before the array: member and term. */
+const PROGRESS_START = '02 61 02';
+/** The first fields of a heartbeat, before the array. */
+const HEARTBEAT_START = '02 61 02 02 00 00 00 02';
+
+/** Arrays that are wrong in ways of their own, by their encoding in Avro. */
+const MALFORMED_AVRO_ARRAYS: readonly { readonly name: string; readonly array: Buffer }[] = [
+  { name: 'a count of 2^31 items', array: fromHex('8080808010') },
+  { name: 'a count of 2^25 items', array: fromHex('80808020') },
+  { name: 'a count of 2^22 items', array: fromHex('80808004') },
+  { name: 'a count of 2^52 items', array: fromHex('8080808080808010') },
+  { name: 'a block of 2^25 items with its size', array: fromHex('ffffff1f 00') },
+  { name: 'a block of 2^31 items with its size', array: fromHex('ffffffff0f 00') },
+  { name: 'a count of as many items as bytes follow', array: fillBody('00', 'e0ff07') },
+  { name: 'a number without an end', array: Buffer.alloc(60_000, 0xff) },
+  { name: 'a text of 2^31 bytes', array: fromHex('02 8080808010') },
+  { name: 'a text of negative length', array: fromHex('02 ffffff0f 00 00 00') },
+  { name: 'no end of the array', array: fromHex('02 00 00 00') },
+];
+
+/** Malformed messages between controllers, by their path. */
+export const malformedPeerMessages = (): (MalformedBody & { readonly path: string })[] =>
+  MALFORMED_AVRO_ARRAYS.flatMap(({ name, array }) => [
+    {
+      name,
+      path: '/peer/v1',
+      bytes: Buffer.concat([fromHex(PROGRESS_START), array]).subarray(0, MAX_BODY_BYTES),
+    },
+    {
+      name,
+      path: '/peer/v2/beat',
+      bytes: Buffer.concat([fromHex(HEARTBEAT_START), array]).subarray(0, MAX_BODY_BYTES),
+    },
+  ]);
--- a/packages/protocol/src/peers.ts
+++ b/packages/protocol/src/peers.ts
@@ -5,12 +5,20 @@
 import type { PeerHeartbeat, PeerMessage, ProgressUpdate } from '@shaleyoke/core/domain/peer';
 import avro from 'avsc';
 
+import { decodeAvroRecord } from './avro-reader.js';
+
 /** Path for progress updates. */
 const PROGRESS_PATH = '/peer/v1';
 /** Path for heartbeats. */
 const HEARTBEAT_PATH = '/peer/v2/beat';
 
-const progressType = avro.Type.forSchema({
+const forRecord = (schema: avro.schema.RecordType): avro.types.RecordType => {
+  const type = avro.Type.forSchema(schema);
+  if (!(type instanceof avro.types.RecordType)) throw new TypeError(`${schema.name}: not a record`);
+  return type;
+};
+
+const progressType = forRecord({
   type: 'record',
   name: 'Progress',
   fields: [
@@ -34,7 +42,7 @@
   ],
 });
 
-const heartbeatType = avro.Type.forSchema({
+const heartbeatType = forRecord({
   type: 'record',
   name: 'Beat',
   fields: [
@@ -156,8 +164,8 @@
 export const decodePeerMessage = (kind: PeerMessage['kind'], bytes: Buffer): PeerMessage | null => {
   try {
     return kind === 'progress'
-      ? fromProgressRecord(progressType.fromBuffer(bytes) as ProgressRecord)
-      : fromHeartbeatRecord(heartbeatType.fromBuffer(bytes) as HeartbeatRecord);
+      ? fromProgressRecord(decodeAvroRecord(progressType, bytes) as ProgressRecord)
+      : fromHeartbeatRecord(decodeAvroRecord(heartbeatType, bytes) as HeartbeatRecord);
   } catch {
     return null;
   }
--- a/packages/protocol/test/announced-sizes.test.ts
+++ b/packages/protocol/test/announced-sizes.test.ts
@@ -3,8 +3,9 @@
 import { test } from 'node:test';
 
 import { decode, encode } from '@msgpack/msgpack';
-import { malformedMessagePack } from '@shaleyoke/emulator/malformed-bodies';
+import { malformedMessagePack, malformedPeerMessages } from '@shaleyoke/emulator/malformed-bodies';
 import { decodeBody } from '@shaleyoke/protocol/body';
+import { decodePeerMessage, encodePeerMessage, peerMessageKindOf } from '@shaleyoke/protocol/peers';
 import fc from 'fast-check';
 
 const PROPERTY_OPTIONS = { seed: 20261204, numRuns: 3_000 };
@@ -96,3 +97,29 @@
   );
   assert.ok(decoded > PROPERTY_OPTIONS.numRuns / 4, `decoded: ${decoded}`);
 });
+
+test('arrays are not made for more items than a message between controllers has bytes', () => {
+  for (const { name, path, bytes } of malformedPeerMessages()) {
+    const decodeMessage = (body: Uint8Array): unknown =>
+      decodePeerMessage(peerMessageKindOf(path)!, Buffer.from(body));
+    assert.ok(reservedItems(decodeMessage, bytes) <= bytes.length, `${path}: ${name}`);
+    assert.equal(decodeMessage(bytes), null, `${path}: ${name}`);
+  }
+});
+
+test('a progress update in several blocks, with and without their sizes, is decoded as one in a single block', () => {
+  const jobs = [
+    { id: 'run-7', done: 3, running: 4 },
+    { id: 'run-8', done: 0, running: 1 },
+  ];
+  const whole = encodePeerMessage({ kind: 'progress', member: 'dock-0', term: 3, jobs }).body;
+  const items = [Buffer.from('0a72756e2d370608', 'hex'), Buffer.from('0a72756e2d380002', 'hex')];
+  const start = Buffer.from('0c646f636b2d3006', 'hex');
+  assert.deepEqual(whole, Buffer.concat([start, Buffer.from([4]), ...items, Buffer.from([0])]));
+  // A block of one item, then one of one item with its size: the count is negative.
+  const blocks = [start, Buffer.from([2]), items[0]!, Buffer.from([1, 16]), items[1]!, Buffer.from([0])];
+  assert.deepEqual(
+    decodePeerMessage('progress', Buffer.concat(blocks)),
+    decodePeerMessage('progress', whole),
+  );
+});
