Hold a body that arrives in many chunks in one buffer

What callers saw: fifty bodies of 65,000 bytes at the same time, in chunks of one byte, got no answer and ended the controller; one took 33 MB.

Cause: servers and client kept a list of chunks until a body was complete. A chunk of one byte costs some 500 bytes as an object, so that the limit of 64 KiB did not bound what a body reserves.

Change: ByteCollector copies chunks into one buffer that grows by doubling; a body in one piece is used as it is. All three servers and the client use it. It stands in the core's domain, like TaskBitset, since features may not import the controller.

Test red before: "bodies in chunks of one byte take memory by their length, and do not end the controller that gets them" (ECONNRESET). The Kubernetes-shaped listener was not measured by itself.

--- a/packages/controller/src/http-client.ts
+++ b/packages/controller/src/http-client.ts
@@ -1,6 +1,7 @@
 /** HTTP calls with a time limit each, so that a server that does not respond holds up its caller for no longer than that. */
 import * as http from 'node:http';
 
+import { ByteCollector } from '@shaleyoke/core/domain/byte-collector';
 import { type Micros, MILLISECOND } from '@shaleyoke/core/domain/time';
 import type { HttpCall } from '@shaleyoke/protocol/cloud';
 import { Effect } from 'effect';
@@ -31,19 +32,15 @@
   response: http.IncomingMessage,
   settle: (reply: HttpReply) => void,
 ): void => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteCollector(MAX_REPLY_BYTES);
   const fail = (): void => {
     settle(null);
   };
   response.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > MAX_REPLY_BYTES) request.destroy();
-    else chunks.push(chunk);
+    if (!body.append(chunk)) request.destroy();
   });
   response.on('end', () => {
-    const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-    settle({ status: response.statusCode ?? 0, body });
+    settle({ status: response.statusCode ?? 0, body: body.bytes });
   });
   response.on('error', fail);
   response.on('aborted', fail);
--- a/packages/controller/src/http-server.ts
+++ b/packages/controller/src/http-server.ts
@@ -1,6 +1,7 @@
 /** HTTP servers: one address serves users, workers and health checks, another the other controllers. */
 import * as http from 'node:http';
 
+import { ByteCollector } from '@shaleyoke/core/domain/byte-collector';
 import { MAX_BODY_BYTES } from '@shaleyoke/protocol/body';
 import { Effect, type Scope } from 'effect';
 
@@ -49,8 +50,7 @@
 
 /** Reads the body of a request and handles it; a body larger than the protocol allows is refused with status 413. */
 const receive = (request: http.IncomingMessage, raw: http.ServerResponse, handle: RequestHandler): void => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteCollector(MAX_BODY_BYTES);
   let refused = false;
   const refuse = (): void => {
     if (refused) return;
@@ -63,14 +63,12 @@
     return;
   }
   request.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) refuse();
-    else chunks.push(chunk);
+    if (!refused && !body.append(chunk)) refuse();
   });
   request.on('end', () => {
     if (refused) return;
-    const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-    handle({ method: request.method ?? 'GET', url: request.url ?? '/', body }, (response) => {
+    const received = { method: request.method ?? 'GET', url: request.url ?? '/', body: body.bytes };
+    handle(received, (response) => {
       send(raw, response);
     });
   });
--- a/packages/kubernetes/src/server.ts
+++ b/packages/kubernetes/src/server.ts
@@ -4,6 +4,8 @@
  */
 import * as http from 'node:http';
 
+import { ByteCollector } from '@shaleyoke/core/domain/byte-collector';
+
 import type { KubeAnswer, Refusal } from './api.js';
 import { refuse } from './api.js';
 import type { KubeAsk } from './endpoint.js';
@@ -119,13 +121,10 @@
 };
 
 const receive = (req: http.IncomingMessage, res: http.ServerResponse, ask: SendRequest): void => {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteCollector(MAX_BODY_BYTES);
   let refused: Refusal | null = null;
   req.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size <= MAX_BODY_BYTES) chunks.push(chunk);
-    else if (refused === null) {
+    if (refused === null && !body.append(chunk)) {
       refused = refuse(413, 'RequestEntityTooLarge', `a body is ${MAX_BODY_BYTES} bytes at most`);
       // The rest is read and dropped until the request timeout: otherwise a client that is still sending would be
       // disconnected before it reads the refusal.
@@ -134,7 +133,7 @@
     }
   });
   req.on('end', () => {
-    if (refused === null) serve(req, res, Buffer.concat(chunks).toString('utf8'), ask);
+    if (refused === null) serve(req, res, body.bytes.toString('utf8'), ask);
   });
   req.on('error', () => undefined);
 };
