Drop replies that are larger than they can be, or than the heap can take

What callers saw: a controller that got a large reply from the store, the cloud or a worker ended (SIGABRT, heap out of memory), where the protocol calls such a reply a lost one.

Cause: up to 64 MiB were accepted of a reply, in a heap of 72 MB, and decoded whole. Decoded values take up to some 280 bytes where the body has one or two.

Change: the client drops a reply that is longer than it can be (2 MiB from the store, whose lists have 512 KiB at most; 1 MiB from the cloud; 64 KiB from workers and controllers). The scan of announced sizes also estimates the memory that a body takes, and bodies over 16 MiB are refused before they are decoded. No request of 64 KiB takes that much, so that nothing changes for users and workers. A watch's reply has no limit by the protocol: beyond these limits it is answered by listing, as for changes that the store has dropped; otherwise the same changes would be asked for for ever.

The rule for the empty body of a reply stands once instead of twice.

--- a/packages/controller/src/clients.ts
+++ b/packages/controller/src/clients.ts
@@ -5,7 +5,8 @@
 import type { StoreOperation, StoreReply } from '@shaleyoke/core/domain/key-value-store';
 import type { PeerMessage } from '@shaleyoke/core/domain/peer';
 import type { Settings } from '@shaleyoke/core/domain/settings';
-import { type Micros, MILLISECOND, SECOND } from '@shaleyoke/core/domain/time';
+import { MILLISECOND, SECOND } from '@shaleyoke/core/domain/time';
+import { MAX_BODY_BYTES } from '@shaleyoke/protocol/body';
 import { encodePeerMessage } from '@shaleyoke/protocol/peers';
 import { COMMANDS_PATH, decodeCommandReply, encodeCommands } from '@shaleyoke/protocol/workers';
 import { Context, Effect, Layer } from 'effect';
@@ -41,8 +42,9 @@
 /** Effect's service tag under which the clients are provided. */
 export class Clients extends Context.Tag('Clients')<Clients, ClientsService>() {}
 
-const COMMANDS_TIMEOUT: Micros = 2_500 * MILLISECOND;
-const PEER_TIMEOUT: Micros = 2 * SECOND;
+/** A worker's reply is a heartbeat, like its requests. */
+const COMMANDS_LIMITS = { timeout: 2_500 * MILLISECOND, maxBytes: MAX_BODY_BYTES };
+const PEER_LIMITS = { timeout: 2 * SECOND, maxBytes: MAX_BODY_BYTES };
 /** Idle connections to workers are closed: with a thousand machines they would use up the sockets. */
 const WORKER_IDLE_MS = 4_000;
 /** The cloud has no write limit: its calls are admitted with no writes, so that this rate never applies. */
@@ -68,7 +70,7 @@
     sendCommands: (address, fencingToken, agentEpoch, commands) => {
       const body = encodeCommands(fencingToken, agentEpoch, commands);
       const call = { method: 'POST', path: COMMANDS_PATH, body } as const;
-      return callHttp(workerAgent, address, call, COMMANDS_TIMEOUT).pipe(
+      return callHttp(workerAgent, address, call, COMMANDS_LIMITS).pipe(
         Effect.map((reply): CommandReply =>
           reply === null ? { kind: 'lost', heartbeat: null } : decodeCommandReply(reply.status, reply.body),
         ),
@@ -78,7 +80,7 @@
       const peer = settings.peers.find((candidate) => candidate.member === member);
       if (peer === undefined) return Effect.void;
       const call = { method: 'POST', ...encodePeerMessage(message) } as const;
-      return Effect.asVoid(callHttp(peerAgent, peer.address, call, PEER_TIMEOUT));
+      return Effect.asVoid(callHttp(peerAgent, peer.address, call, PEER_LIMITS));
     },
     takeStoreSummary: () => storeLimiter.takeSummary(),
     setRole: (isLeader) => {
--- a/packages/controller/src/cloud-client.ts
+++ b/packages/controller/src/cloud-client.ts
@@ -1,15 +1,15 @@
 /** The client of the cloud; keeps to the request budget. */
 import type { CloudOperation, CloudReply } from '@shaleyoke/core/domain/cloud';
 import type { RequestUrgency } from '@shaleyoke/core/domain/effects';
-import { type Micros, SECOND } from '@shaleyoke/core/domain/time';
-import { decodeCloudReply, encodeCloudOperation } from '@shaleyoke/protocol/cloud';
+import { SECOND } from '@shaleyoke/core/domain/time';
+import { decodeCloudReply, encodeCloudOperation, MAX_CLOUD_REPLY_BYTES } from '@shaleyoke/protocol/cloud';
 import { Effect } from 'effect';
 
 import { TOO_MANY_REQUESTS, waitForAdmission } from './admission.js';
 import { callHttp, makeAgent } from './http-client.js';
 import type { RateLimiter } from './rate-limiter.js';
 
-const TIMEOUT: Micros = 5 * SECOND;
+const RESPONSE_LIMITS = { timeout: 5 * SECOND, maxBytes: MAX_CLOUD_REPLY_BYTES };
 const SOCKETS = 4;
 
 /** Sends requests to the cloud, each once: the caller decides on retries. */
@@ -33,7 +33,7 @@
   }
 
   private send(operation: CloudOperation): Effect.Effect<CloudReply> {
-    return callHttp(this.agent, this.address, encodeCloudOperation(operation), TIMEOUT).pipe(
+    return callHttp(this.agent, this.address, encodeCloudOperation(operation), RESPONSE_LIMITS).pipe(
       Effect.map((reply): CloudReply => {
         if (reply === null) return { kind: 'failed', reason: 'no answer' };
         if (reply.status === TOO_MANY_REQUESTS) this.limiter.recordRejection(false);
--- a/packages/controller/src/http-client.ts
+++ b/packages/controller/src/http-client.ts
@@ -8,10 +8,21 @@
 
 import { splitAddress } from './address.js';
 
+/** The response to a call. */
+export interface HttpResponse {
+  readonly status: number;
+  /** Null: it was longer than the caller allows. */
+  readonly body: Buffer | null;
+}
+
 /** The response to a call. Null: there was none, and the request may or may not have been executed. */
-export type HttpReply = { readonly status: number; readonly body: Buffer } | null;
+export type HttpReply = HttpResponse | null;
 
-const MAX_REPLY_BYTES = 64 * 1024 * 1024;
+/** How long to wait for a response, and how long it may be. */
+export interface ResponseLimits {
+  readonly timeout: Micros;
+  readonly maxBytes: number;
+}
 
 /** A pool of persistent connections, at most `sockets` to a server; those that are idle for `idleMs` are closed. */
 export const makeAgent = (sockets: number, idleMs?: number): http.Agent =>
@@ -26,32 +37,36 @@
 const headersOf = (body: Buffer | null): http.OutgoingHttpHeaders =>
   body === null ? {} : { 'Content-Type': 'application/msgpack', 'Content-Length': body.length };
 
-/** Reads the whole response; passes null on if it is cut off or too large. */
+/** Reads the whole response; passes null on if it is cut off, and a response without its body if that is too long. */
 const readResponse = (
   request: http.ClientRequest,
   response: http.IncomingMessage,
+  maxBytes: number,
   settle: (reply: HttpReply) => void,
 ): void => {
-  const body = new ByteCollector(MAX_REPLY_BYTES);
+  const body = new ByteCollector(maxBytes);
+  const status = response.statusCode ?? 0;
   const fail = (): void => {
     settle(null);
   };
   response.on('data', (chunk: Buffer) => {
-    if (!body.append(chunk)) request.destroy();
+    if (body.append(chunk)) return;
+    settle({ status, body: null });
+    request.destroy();
   });
   response.on('end', () => {
-    settle({ status: response.statusCode ?? 0, body: body.bytes });
+    settle({ status, body: body.bytes });
   });
   response.on('error', fail);
   response.on('aborted', fail);
 };
 
-/** Sends a request; the result is the response, or null if the connection fails or `timeout` passes first. */
+/** Sends a request; the result is the response, or null if the connection fails or the time limit passes first. */
 export const callHttp = (
   agent: http.Agent,
   address: string,
   call: HttpCall,
-  timeout: Micros,
+  limits: ResponseLimits,
 ): Effect.Effect<HttpReply> =>
   Effect.async<HttpReply>((resume) => {
     let settled = false;
@@ -64,12 +79,12 @@
     const { method, path, body } = call;
     const options = { agent, ...splitAddress(address), method, path, headers: headersOf(body) };
     const request = http.request(options, (response) => {
-      readResponse(request, response, settle);
+      readResponse(request, response, limits.maxBytes, settle);
     });
     const timer = setTimeout(() => {
       request.destroy();
       settle(null);
-    }, timeout / MILLISECOND);
+    }, limits.timeout / MILLISECOND);
     request.on('error', () => {
       settle(null);
     });
--- a/packages/controller/src/store-client.ts
+++ b/packages/controller/src/store-client.ts
@@ -3,7 +3,11 @@
 import type { StoreOperation, StoreReply } from '@shaleyoke/core/domain/key-value-store';
 import { type Micros, MILLISECOND, SECOND } from '@shaleyoke/core/domain/time';
 import type { HttpCall } from '@shaleyoke/protocol/cloud';
-import { decodeStoreReply, encodeStoreOperation } from '@shaleyoke/protocol/key-value-store';
+import {
+  decodeStoreReply,
+  encodeStoreOperation,
+  MAX_STORE_REPLY_BYTES,
+} from '@shaleyoke/protocol/key-value-store';
 import { Effect } from 'effect';
 
 import { REJECTION_RETRY_TIME, TOO_MANY_REQUESTS, waitForAdmission } from './admission.js';
@@ -72,6 +76,7 @@
 
   private send(operation: StoreOperation, call: HttpCall): Effect.Effect<HttpReply> {
     const agent = operation.kind === 'watch' ? this.watchAgent : this.agent;
-    return callHttp(agent, this.address, call, timeoutOf(operation));
+    const limits = { timeout: timeoutOf(operation), maxBytes: MAX_STORE_REPLY_BYTES };
+    return callHttp(agent, this.address, call, limits);
   }
 }
--- a/packages/protocol/src/body.ts
+++ b/packages/protocol/src/body.ts
@@ -1,7 +1,7 @@
 /** MessagePack message bodies and validated access to their fields. All readers throw `MalformedMessageError`. */
 import { decode, encode } from '@msgpack/msgpack';
 
-import { areAnnouncedSizesPossible } from './announced-sizes.js';
+import { checkAnnouncedSizes } from './announced-sizes.js';
 
 /** A map from a decoded message, whose fields are not validated yet. */
 export type Fields = Readonly<Record<string, unknown>>;
@@ -12,16 +12,24 @@
 /** A message does not have the expected form. Callers respond with status 400, or treat a malformed reply as lost. */
 export class MalformedMessageError extends Error {}
 
+/** A message is longer than allowed, or would take too much memory; what it says is not known. */
+export class OversizedMessageError extends MalformedMessageError {}
+
 /** Encodes a body as MessagePack; undefined fields are omitted. */
 export const encodeBody = (value: unknown): Buffer => {
   const bytes = encode(value, { ignoreUndefined: true });
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 };
 
-/** Decodes a MessagePack body; its fields are validated by the readers below. The memory that it takes is proportional to its length. */
+/**
+ * Decodes a MessagePack body; its fields are validated by the readers below. The memory that it takes is proportional to its length,
+ * and limited. Throws `MalformedMessageError`.
+ */
 export const decodeBody = (bytes: Uint8Array): unknown => {
-  if (!areAnnouncedSizesPossible(bytes))
+  const sizes = checkAnnouncedSizes(bytes);
+  if (sizes === 'impossible')
     throw new MalformedMessageError('not MessagePack: shorter than the sizes that it announces');
+  if (sizes === 'tooLarge') throw new OversizedMessageError('takes too much memory');
   try {
     return decode(bytes);
   } catch {
@@ -29,6 +37,15 @@
   }
 };
 
+/** The body of a reply; null if it was longer than allowed and has been dropped. */
+export type ReplyBody = Uint8Array | null;
+
+/** Decodes the body of a reply; an empty one is an empty map. Throws `MalformedMessageError`. */
+export const decodeReplyBody = (body: ReplyBody): unknown => {
+  if (body === null) throw new OversizedMessageError('longer than allowed');
+  return body.length === 0 ? {} : decodeBody(body);
+};
+
 /** Checks that a value is a map. `what` names the value in the error. */
 export const readMap = (value: unknown, what: string): Fields => {
   if (typeof value !== 'object' || value === null || Array.isArray(value))
--- a/packages/protocol/src/cloud.ts
+++ b/packages/protocol/src/cloud.ts
@@ -3,7 +3,7 @@
 import type { ListedMachine, MachineType } from '@shaleyoke/core/domain/machine';
 
 import {
-  decodeBody,
+  decodeReplyBody,
   encodeBody,
   MalformedMessageError,
   readAmount,
@@ -12,6 +12,7 @@
   readEnum,
   readMap,
   readString,
+  type ReplyBody,
   secondsToMicros,
 } from './body.js';
 
@@ -22,6 +23,9 @@
   readonly body: Buffer | null;
 }
 
+/** Size limit of a reply of the cloud, in bytes: a list holds up to 500 machines. */
+export const MAX_CLOUD_REPLY_BYTES = 1024 * 1024;
+
 /** Machine states by their names on the wire. */
 const STATES: ReadonlyMap<string, ListedMachine['state']> = new Map([
   ['booting', 'booting'],
@@ -93,13 +97,9 @@
 };
 
 /** Decodes the cloud's reply to an operation; a malformed reply counts as a failure. */
-export const decodeCloudReply = (
-  operation: CloudOperation,
-  status: number,
-  bytes: Uint8Array,
-): CloudReply => {
+export const decodeCloudReply = (operation: CloudOperation, status: number, bytes: ReplyBody): CloudReply => {
   try {
-    const body = bytes.length === 0 ? {} : decodeBody(bytes);
+    const body = decodeReplyBody(bytes);
     if (status === 503 && operation.kind === 'rent') {
       const error = readMap(body, 'answer')['error'];
       return error === 'no capacity' ? { kind: 'noCapacity' } : { kind: 'failed', reason: 'trouble' };
--- a/packages/protocol/src/key-value-store.ts
+++ b/packages/protocol/src/key-value-store.ts
@@ -9,17 +9,25 @@
 } from '@shaleyoke/core/domain/key-value-store';
 
 import {
-  decodeBody,
+  decodeReplyBody,
   encodeBody,
   MalformedMessageError,
+  OversizedMessageError,
   readArray,
   readBoolean,
   readInteger,
   readMap,
   readString,
+  type ReplyBody,
 } from './body.js';
 import type { HttpCall } from './cloud.js';
 
+/**
+ * Size limit of a reply of the store, in bytes: four times that of a list. The store sets no limit for a watch's reply; one that
+ * exceeds this limit is treated like changes that the store no longer has, so that the keys are listed instead.
+ */
+export const MAX_STORE_REPLY_BYTES = 2 * 1024 * 1024;
+
 const encodeWrite = (write: StoreWrite): unknown =>
   write.kind === 'put'
     ? { set: write.key, data: write.value, ...(write.lease === undefined ? {} : { permit: write.lease }) }
@@ -148,21 +156,18 @@
 };
 
 /** Decodes the store's reply to an operation. A malformed reply counts as a failure of an operation that may have been executed. */
-export const decodeStoreReply = (
-  operation: StoreOperation,
-  status: number,
-  bytes: Uint8Array,
-): StoreReply => {
+export const decodeStoreReply = (operation: StoreOperation, status: number, bytes: ReplyBody): StoreReply => {
   try {
     if (status === 429) return failed(false, 'busy', `status ${status}`);
     if (status === 503) return failed(false, 'refused', `status ${status}`);
-    const body = bytes.length === 0 ? {} : decodeBody(bytes);
+    const body = decodeReplyBody(bytes);
     if (status === 200) return decodeSuccess(operation, body);
     const outcome = decodeOutcome(operation, status, body);
     if (outcome !== null) return outcome;
     if (status === 400) return { kind: 'refused', reason: 'malformed or beyond the limits' };
     return failed(null, 'refused', `status ${status}`);
   } catch (error) {
+    if (error instanceof OversizedMessageError && operation.kind === 'watch') return { kind: 'tooOld' };
     if (error instanceof MalformedMessageError)
       return failed(null, 'refused', `malformed answer: ${error.message}`);
     throw error;
--- a/packages/protocol/src/workers.ts
+++ b/packages/protocol/src/workers.ts
@@ -10,7 +10,7 @@
 } from '@shaleyoke/core/domain/heartbeat';
 
 import {
-  decodeBody,
+  decodeReplyBody,
   encodeBody,
   MalformedMessageError,
   microsToSeconds,
@@ -21,6 +21,7 @@
   readMap,
   readOptionalAmount,
   readString,
+  type ReplyBody,
   secondsToMicros,
 } from './body.js';
 
@@ -124,10 +125,10 @@
 ): Buffer => encodeBody({ baton: fencingToken, shift: agentEpoch, orders: commands.map(encodeCommand) });
 
 /** Decodes the reply to commands. A malformed reply counts as lost: the commands may or may not have been executed. */
-export const decodeCommandReply = (status: number, bytes: Uint8Array): CommandReply => {
+export const decodeCommandReply = (status: number, bytes: ReplyBody): CommandReply => {
   if (status !== 200 && status !== 409) return { kind: 'lost', heartbeat: null };
   try {
-    const heartbeat = decodeHeartbeat(decodeBody(bytes));
+    const heartbeat = decodeHeartbeat(decodeReplyBody(bytes));
     return { kind: status === 200 ? 'executed' : 'refused', heartbeat };
   } catch (error) {
     if (error instanceof MalformedMessageError) return { kind: 'lost', heartbeat: null };
--- a/packages/protocol/test/formats.test.ts
+++ b/packages/protocol/test/formats.test.ts
@@ -286,3 +286,15 @@
     assert.equal(request.kind === 'submit' ? request.spec : 'none', null);
   }
 });
+
+test('a reply that is longer than allowed counts as lost; if it is that of a watch, the keys have to be listed', () => {
+  // Guards against a watch that asks for the same changes again and again, because they never fit into a reply.
+  assert.deepEqual(decodeStoreReply({ kind: 'watch', prefix: 'j/', after: 1, waitMs: 0 }, 200, null), {
+    kind: 'tooOld',
+  });
+  const list = decodeStoreReply({ kind: 'list', prefix: 'j/', limit: 1 }, 200, null);
+  assert.ok(list.kind === 'failed' && list.executed === null);
+  assert.equal(decodeStoreReply({ kind: 'get', key: 'k' }, 503, null).kind, 'failed');
+  assert.equal(decodeCloudReply({ kind: 'types' }, 200, null).kind, 'failed');
+  assert.deepEqual(decodeCommandReply(200, null), { kind: 'lost', heartbeat: null });
+});
