Kubernetes: parse a manifest without a stack trace for each mistake

Cause: the YAML parser makes an error for each mistake and formats each with the line around it, though only the first is shown. The stack trace of an error takes about a thousand bytes; such a text has up to 65,536 of them.

Change: parseText parses without stack traces and formats the first error alone. Its text loses the colon at its end.

Evidence: test red before: "a text with a mistake in each byte is refused, and does not end the process" (heap out of memory). The options of a deletion, which are parsed before sign-in, have 4 KiB at most and do not suffice for it.

--- a/packages/kubernetes/src/text.ts
+++ b/packages/kubernetes/src/text.ts
@@ -1,5 +1,5 @@
 /** Parses manifests in YAML or JSON, a subset of YAML. The nesting depth is checked before parsing. */
-import { parse as parseYaml } from 'yaml';
+import { LineCounter, parseDocument } from 'yaml';
 
 /** Maximum nesting depth. Supported manifests have eight levels. */
 const MAX_DEPTH = 64;
@@ -46,11 +46,35 @@
 /** The parsed value, or why the text can't be parsed. */
 export type ParsedText = { readonly value: unknown } | { readonly problem: string };
 
+/** Aliases of a text that may be resolved; each can stand for much more text than it has. */
+const MAX_ALIASES = 50;
+
+/**
+ * Runs without recording stack traces. The YAML parser makes an error for each mistake in a text, up to one for each byte, and a
+ * stack trace takes a thousand bytes of memory.
+ */
+const withoutStackTraces = <T>(run: () => T): T => {
+  const { stackTraceLimit } = Error;
+  Error.stackTraceLimit = 0;
+  try {
+    return run();
+  } finally {
+    Error.stackTraceLimit = stackTraceLimit;
+  }
+};
+
 /** Parses YAML or JSON, always by the YAML parser: it reports duplicate keys, which a JSON parser silently drops. */
 export const parseText = (text: string): ParsedText => {
   if (isTooDeep(text)) return { problem: `nests deeper than ${MAX_DEPTH} levels` };
   try {
-    return { value: parseYaml(text, { maxAliasCount: 50 }) as unknown };
+    const lineCounter = new LineCounter();
+    const document = withoutStackTraces(() => parseDocument(text, { lineCounter, prettyErrors: false }));
+    const error = document.errors[0];
+    if (error !== undefined) {
+      const { line, col } = lineCounter.linePos(error.pos[0]);
+      return { problem: `${error.message} at line ${line}, column ${col}` };
+    }
+    return { value: document.toJS({ maxAliasCount: MAX_ALIASES }) as unknown };
   } catch (e) {
     return { problem: (e as Error).message.split('\n')[0]! };
   }
--- a/packages/kubernetes/test/text.test.ts
+++ b/packages/kubernetes/test/text.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { commandRunner } from '@shaleyoke/emulator/command-runner';
+import { deployedNodeFlags } from '@shaleyoke/emulator/deployed-flags';
 import { checkText } from '@shaleyoke/kubernetes/check';
 import { isTooDeep, parseText } from '@shaleyoke/kubernetes/text';
 import fc from 'fast-check';
@@ -41,3 +43,21 @@
   const many = parseText(`a: &a [${'x,'.repeat(50)}]\nb: [${'*a,'.repeat(400)}]`);
   assert.ok('problem' in many);
 });
+
+test('a text with a mistake in each byte is refused, and does not end the process', async () => {
+  // Guards against an error object with a stack trace for each mistake (docs/incidents/many-yaml-errors.md).
+  const reader = new URL('text-reader.ts', import.meta.url).pathname;
+  const { exitCode, output } = await commandRunner([
+    process.execPath,
+    ...deployedNodeFlags(),
+    '--import',
+    'tsx',
+    reader,
+  ])();
+  assert.equal(exitCode, 0, output.slice(0, 500));
+  assert.deepEqual(output.trim().split('\n').slice(0, 3), [
+    'Unexpected , in flow sequence at line 1, column 3',
+    'Missing , between flow map items at line 1, column 8',
+    'Unexpected flow-map-end token in YAML document: "}" at line 1, column 1',
+  ]);
+});
