Bound what the numbers of a stored record make a new leader keep

What callers saw: with one such record in the store, a new leader ended (heap out of memory) or never got through reading.

Cause: the number in a page's key and the offset of a part of progress made the leader keep an object for each page or part before it, and the number of tasks of a stored job, from which its state is sized, was not checked.

Change: pages exist by number only where they are stored or used. A part beyond 20,000 is rewritten like one of another layout. A stored job with more than 100,000 tasks is unreadable, as other malformed ones are; the limit stands once now, for users, manifests and records.

--- a/packages/core/src/codecs/job-codec.ts
+++ b/packages/core/src/codecs/job-codec.ts
@@ -2,7 +2,7 @@
  * Encodes and decodes job records, which have one form while a job is active and another once it has ended. The field names
  * are written out here and must not change, because other versions read the same records.
  */
-import type { JobShape, JobSpec, Priority } from '../domain/job.js';
+import { isTaskCount, type JobShape, type JobSpec, type Priority } from '../domain/job.js';
 import type { Micros } from '../domain/time.js';
 import { isStoredMap } from './stored-map.js';
 
@@ -143,6 +143,8 @@
   const dependsOn = isStoredMap(awaiting) ? unpackIds(awaiting['needs']) : [];
   const { spec, at } = record;
   if (dependsOn === null || !isStoredSpec(spec) || typeof at !== 'number') return null;
+  // The state of a job has a bit for each task, whatever the size of its record.
+  if (!isTaskCount(spec.tasks)) return null;
   return { spec: decodeSpec(spec, dependsOn), acceptedAt: at };
 };
 
--- a/packages/core/src/domain/job.ts
+++ b/packages/core/src/domain/job.ts
@@ -10,6 +10,13 @@
 /** Priority of a job. 0: best effort, 1: normal, 2: high, 3: production. */
 export type Priority = 0 | 1 | 2 | 3;
 
+/** Maximum number of tasks of a job. */
+export const MAX_TASKS_PER_JOB = 100_000;
+
+/** Whether a job may have so many tasks. */
+export const isTaskCount = (value: unknown): value is number =>
+  typeof value === 'number' && Number.isInteger(value) && value >= 1 && value <= MAX_TASKS_PER_JOB;
+
 /** A job as submitted. Cores, GPUs and memory are per task. */
 export interface JobSpec {
   /** Unique id, chosen by the submitter. */
--- a/packages/core/src/storage/large-progress.ts
+++ b/packages/core/src/storage/large-progress.ts
@@ -22,6 +22,8 @@
 const MIN_BITSET_BYTES_PER_PART = 3;
 /** Fraction of a part's capacity for the bitset; the rest is for machine names. */
 const BITSET_CAPACITY_FRACTION = 1 / 2;
+/** More parts than the largest job has on as many machines as tasks, at values of 1 KiB. */
+const MAX_PARTS = 20_000;
 /** Bytes encoded by one base64 character. */
 const BYTES_PER_BASE64_CHARACTER = 0.75;
 
@@ -103,7 +105,8 @@
     const fits =
       valueBytes <= this.maxPartBytes && Buffer.from(record.bits, 'base64').length <= this.bitsetBytesPerPart;
     const numberBase = partNumber === null || partNumber === 0 ? this.partNumberBase : partNumber - index;
-    const isPart = partNumber !== null && Number.isInteger(index) && index >= 0;
+    // A part beyond the last possible one is rewritten like one of another layout.
+    const isPart = partNumber !== null && Number.isInteger(index) && index >= 0 && index < MAX_PARTS;
     if (!isPart || !fits || (this.partNumberBase ?? numberBase) !== numberBase) {
       this.obsoleteKeys.set(key, partNumber ?? 0);
       return;
--- a/packages/core/src/storage/packed-pages.ts
+++ b/packages/core/src/storage/packed-pages.ts
@@ -46,7 +46,8 @@
 
 /** The pages under one key prefix, and the page of each record. */
 export class PackedPages {
-  private readonly pages: Page[] = [];
+  /** Pages by their numbers. Only those that are stored or have records exist: a number alone takes no memory. */
+  private readonly pages: (Page | undefined)[] = [];
   private readonly pageOf = new Map<string, Page>();
   /** Additional pages of this version that contain a record, left by a move that a crash interrupted. */
   private readonly duplicates = new Map<string, Set<Page>>();
@@ -73,15 +74,13 @@
   }
 
   private pageAt(pageNumber: number): Page {
-    for (let i = this.pages.length; i <= pageNumber; i++)
-      this.pages.push({
-        key: `${this.prefix}${PAGE_NAME_PREFIX}${i}`,
-        reservations: new Map(),
-        reservedSize: 0,
-        stale: false,
-        closed: false,
-      });
-    return this.pages[pageNumber]!;
+    return (this.pages[pageNumber] ??= {
+      key: `${this.prefix}${PAGE_NAME_PREFIX}${pageNumber}`,
+      reservations: new Map(),
+      reservedSize: 0,
+      stale: false,
+      closed: false,
+    });
   }
 
   /** Loads a stored page. `maxSizeOf` returns the maximum size of a record, or null if the record is no longer needed. */
@@ -140,8 +139,10 @@
   }
 
   private findPageWithCapacity(maxSize: number): Page {
-    for (const page of this.pages)
+    for (let pageNumber = 0; pageNumber < this.pages.length; pageNumber++) {
+      const page = this.pageAt(pageNumber);
       if (!page.closed && page.reservedSize + maxSize <= this.pageCapacity) return page;
+    }
     return this.pageAt(this.pages.length);
   }
 
@@ -167,7 +168,10 @@
 
   /** Rewrites pages that still contain dropped records. */
   rewriteStalePages(): void {
-    for (const page of this.pages) if (page.stale && !page.closed) this.write(page, 'later', () => undefined);
+    // Passes over the numbers without a page.
+    this.pages.forEach((page) => {
+      if (page?.stale === true && !page.closed) this.write(page, 'later', () => undefined);
+    });
   }
 
   /** Merges the next duplicated record or empties the next page, one at a time. Called periodically; cheap when idle. */
@@ -228,7 +232,7 @@
     const onWritten = (): void => {
       this.pagesToEmpty.delete(key);
       this.compacting = false;
-      const page = this.pages.find((candidate) => candidate.key === key);
+      const page = this.pages.find((candidate) => candidate?.key === key);
       if (page === undefined) return;
       page.closed = false;
       page.reservedSize = 0;
--- a/packages/demo/test/malformed-bodies.test.ts
+++ b/packages/demo/test/malformed-bodies.test.ts
@@ -3,14 +3,11 @@
 import { connect } from 'node:net';
 import { test } from 'node:test';
 
-import { MACHINE_TYPE, waitUntil } from '@shaleyoke/demo/demo';
-import { deployedNodeFlags } from '@shaleyoke/emulator/deployed-flags';
-import { LoopbackDeployment } from '@shaleyoke/emulator/loopback';
 import { httpCall } from '@shaleyoke/emulator/loopback-http';
 import { malformedMessagePack, malformedPeerMessages } from '@shaleyoke/emulator/malformed-bodies';
 
-const MAIN = new URL('../../cli/src/main.ts', import.meta.url).pathname;
-const PROGRAM = [process.execPath, ...deployedNodeFlags(), '--import', 'tsx', MAIN];
+import { withController } from './single-controller.js';
+
 /** Users wait this long for a response. */
 const RESPONSE_TIMEOUT_MS = 5_000;
 /** The load balancer waits this long for the response to a health check. */
@@ -18,28 +15,6 @@
 /** Time in which all chunks of a body have arrived, so that bodies sent at once are held at the same time. */
 const CHUNKS_PAUSE_MS = 2_000;
 
-/** Runs one controller, and calls `check` once it is healthy. */
-const withController = async (
-  check: (addresses: { readonly address: string; readonly peerAddress: string }) => Promise<void>,
-): Promise<void> => {
-  const deployment = new LoopbackDeployment({
-    program: PROGRAM,
-    nodes: 1,
-    teams: ['a'],
-    types: [MACHINE_TYPE],
-    perZone: 1,
-    budgets: null,
-    log: null,
-  });
-  try {
-    await deployment.start();
-    assert.ok(await waitUntil(() => deployment.leader() !== null, 60), 'the controller becomes the leader');
-    await check(deployment.nodes[0]!);
-  } finally {
-    deployment.stop();
-  }
-};
-
 /** Sends a body; the response to it must be 400, and the controller must be healthy right after it. */
 const assertRefused = async (
   path: string,
--- a/packages/kubernetes/src/subset.ts
+++ b/packages/kubernetes/src/subset.ts
@@ -3,6 +3,7 @@
  * table and the published schema are generated from it. A description begins with what the field becomes. Unknown
  * fields are refused at every level.
  */
+import { MAX_TASKS_PER_JOB } from '@shaleyoke/core/domain/job';
 import { Schema } from 'effect';
 
 import { parseQuantity } from './quantity.js';
@@ -56,7 +57,6 @@
     Schema.between(least, most, { message: () => `must be a whole number from ${least} to ${most}` }),
   ).annotations({ message: () => `must be a whole number from ${least} to ${most}` });
 
-const MAX_TASKS = 100_000;
 const MAX_REPLICAS = 1_000;
 /** Ten years; a larger value is assumed to be a mistake. */
 const MAX_SECONDS = 315_360_000;
@@ -255,12 +255,12 @@
   metadata: Metadata,
   spec: Schema.Struct({
     parallelism: optional(
-      wholeNumber(1, MAX_TASKS).annotations(
+      wholeNumber(1, MAX_TASKS_PER_JOB).annotations(
         describe('pods at a time, 1 if it is missing: not below completions'),
       ),
     ),
     completions: optional(
-      wholeNumber(1, MAX_TASKS).annotations(describe('number of pods, 1 if it is missing')),
+      wholeNumber(1, MAX_TASKS_PER_JOB).annotations(describe('number of pods, 1 if it is missing')),
     ),
     completionMode: optional(oneOf(['NonIndexed', 'Indexed'], 'kept: pods are numbered from 0 in both')),
     activeDeadlineSeconds: optional(
--- a/packages/protocol/src/client-api.ts
+++ b/packages/protocol/src/client-api.ts
@@ -1,6 +1,13 @@
 /** The HTTP API for users: routes requests, decodes job submissions and encodes responses. */
 import type { ClientRequest, ClientResponse } from '@shaleyoke/core/domain/client-api';
-import type { JobShape, JobSpec, JobView, Priority } from '@shaleyoke/core/domain/job';
+import {
+  isTaskCount,
+  type JobShape,
+  type JobSpec,
+  type JobView,
+  MAX_TASKS_PER_JOB,
+  type Priority,
+} from '@shaleyoke/core/domain/job';
 
 import {
   decodeBody,
@@ -31,8 +38,6 @@
   ['best_effort', 0],
 ]);
 
-/** Maximum number of tasks of one job. */
-const MAX_TASKS = 100_000;
 /** Maximum length of the name of a class, team or image. */
 const MAX_NAME_LENGTH = 200;
 const JOB_ID = /^run-[0-9]{1,32}$/;
@@ -65,8 +70,8 @@
   const id = readString(fields, 'ref');
   if (!isJobId(id)) throw new MalformedMessageError('ref: not a job id');
   const tasks = fields['parts'];
-  if (typeof tasks !== 'number' || !Number.isInteger(tasks) || tasks < 1 || tasks > MAX_TASKS)
-    throw new MalformedMessageError(`parts: not a count from 1 to ${MAX_TASKS}`);
+  if (!isTaskCount(tasks))
+    throw new MalformedMessageError(`parts: not a count from 1 to ${MAX_TASKS_PER_JOB}`);
   const cores = readAmount(fields, 'cores');
   const models = fields['models'];
   const machineTypes =
