--- a/packages/demo/test/malformed-records.test.ts
+++ b/packages/demo/test/malformed-records.test.ts
@@ -55,3 +55,21 @@
     { records: RECORDS },
   );
 });
+
+test('far parts of the progress of many jobs do not end a new leader', async () => {
+  // Guards against memory by the number of a part instead of its size, for each large job (docs/incidents/stored-numbers.md).
+  const records: Record<string, unknown> = {};
+  for (let i = 0; i < 40; i++) {
+    const id = `run-${100 + i}`;
+    Object.assign(records, job(id, MAX_TASKS_PER_JOB));
+    const from = BYTES_PER_PART * 19_999;
+    records[progressKey(id, 19_999)] = encodeProgress({ machines: [], bits: 'AQ==', from });
+  }
+  await withController(
+    async ({ deployment }) => {
+      const later = makeJob('run-9', 'a', { tasks: 1, estimatedRunUs: SECOND });
+      assert.equal(await deployment.submit(later), 201);
+    },
+    { records },
+  );
+});
