--- a/review/lib-2/deployment.mts
+++ b/review/lib-2/deployment.mts
@@ -377,6 +377,11 @@
     }, this.options.site.restartS * 1000);
   }
 
+  /** The machine loses power. */
+  killWorker(name: string): void {
+    this.cloud.kill(name);
+  }
+
   leader(): number | null {
     const lead = this.state.value('lead') as { member?: string } | undefined;
     const index = this.nodes.findIndex((node) => node.member === lead?.member);
