--- a/review/lib-2/deployment.mts
+++ b/review/lib-2/deployment.mts
@@ -133,8 +133,8 @@
     proceed: () => StoreReply,
     reply: (answer: StoreReply) => void,
   ) => boolean;
-  /** Boot time of a machine in milliseconds. */
-  readonly bootMs?: number;
+  /** Called before the controllers start. */
+  readonly before?: (deployment: Deployment) => void;
   readonly logLevel?: string;
 }
 
@@ -150,6 +150,10 @@
   /** Unexpected ends of controllers. */
   readonly ends: { member: string; code: number | null; signal: string | null; atS: number }[] = [];
   readonly specs = new Map<string, JobSpec>();
+  /** Launch commands that workers executed. */
+  readonly launches: { readonly job: string; readonly index: number; readonly machine: string; readonly atS: number }[] = [];
+  /** Members that have lost the state service, until the end of the run. */
+  readonly cut = new Set<string>();
   private readonly servers: HttpServer[] = [];
   private readonly directory = mkdtempSync(join(tmpdir(), 'shaleyoke-case-'));
   private readonly startedAt = process.hrtime.bigint();
@@ -221,6 +225,7 @@
       taskStarted: (job, index) => {
         const spec = decodeActiveJob(this.state.value(activeJobKey(job)))?.spec;
         if (spec !== undefined) this.specs.set(job, spec);
+        this.launches.push({ job, index, machine: name, atS: this.nowS() });
         this.record(`worker ${name}: launch ${job}/${index}`);
       },
       taskPlaced: (task) => {
@@ -248,9 +253,11 @@
   private async startStore(node: string): Promise<string> {
     const server = await startServer('127.0.0.1:0', (request, respond) => {
       const op = decodeStoreOperation(request.method, request.url, request.body);
+      // A controller that has lost the state service: its packets are held back, and nothing reaches it.
+      if (this.cut.has(node)) return;
       if (op.kind === 'watch') {
         this.state.watch(op, (answer) => {
-          respond(encodeStoreReply(op, answer));
+          if (!this.cut.has(node)) respond(encodeStoreReply(op, answer));
         });
         return;
       }
@@ -377,6 +384,29 @@
     }, this.options.site.restartS * 1000);
   }
 
+  /** Machines that are up at the start. To be called before `start`. */
+  rentAtStart(count: number, spot: boolean): void {
+    const type = this.options.site.types[0]!;
+    this.cloud.apply({ kind: 'rent', request: 'r-start', type: type.name, zone: this.options.site.zone, spot, count });
+  }
+
+  /** The cloud announces that it takes a machine back, which the worker reports at once, and then takes it. */
+  notice(name: string, seconds: number): void {
+    const worker = this.workers.get(name) as unknown as {
+      heartbeat: () => Record<string, unknown>;
+      sendHeartbeatSoon: () => void;
+    };
+    const takenAt = this.now() + seconds * SECOND;
+    const plain = worker.heartbeat.bind(worker);
+    worker.heartbeat = () => ({ ...plain(), terminationNoticeUs: Math.max(0, takenAt - this.now()) });
+    worker.sendHeartbeatSoon();
+    this.record(`cloud: machine ${name} is taken back in ${seconds} s`);
+    setTimeout(() => {
+      this.killWorker(name);
+      this.record(`cloud: machine ${name} is taken`);
+    }, seconds * 1000);
+  }
+
   /** The machine loses power. */
   killWorker(name: string): void {
     this.cloud.kill(name);
@@ -601,6 +631,7 @@
     process.once(signal, () => end(2, `RESULT: ${signal}`));
   const trouble = process.env['TROUBLE'] !== '0';
   try {
+    options.before?.(deployment);
     await deployment.start();
     deployment.record(
       `controllers up; disruption ${trouble ? 'on' : 'off'}; leader is dock-${deployment.leader()}`,
