--- a/review/lib-2/deployment.mts
+++ b/review/lib-2/deployment.mts
@@ -151,7 +151,12 @@
   readonly ends: { member: string; code: number | null; signal: string | null; atS: number }[] = [];
   readonly specs = new Map<string, JobSpec>();
   /** Launch commands that workers executed. */
-  readonly launches: { readonly job: string; readonly index: number; readonly machine: string; readonly atS: number }[] = [];
+  readonly launches: {
+    readonly job: string;
+    readonly index: number;
+    readonly machine: string;
+    readonly atS: number;
+  }[] = [];
   /** Members that have lost the state service, until the end of the run. */
   readonly cut = new Set<string>();
   private readonly servers: HttpServer[] = [];
@@ -387,7 +392,14 @@
   /** Machines that are up at the start. To be called before `start`. */
   rentAtStart(count: number, spot: boolean): void {
     const type = this.options.site.types[0]!;
-    this.cloud.apply({ kind: 'rent', request: 'r-start', type: type.name, zone: this.options.site.zone, spot, count });
+    this.cloud.apply({
+      kind: 'rent',
+      request: 'r-start',
+      type: type.name,
+      zone: this.options.site.zone,
+      spot,
+      count,
+    });
   }
 
   /** The cloud announces that it takes a machine back, which the worker reports at once, and then takes it. */
