--- a/review/lib-2/deployment.mts
+++ b/review/lib-2/deployment.mts
@@ -15,7 +15,7 @@
 import type { MachineType } from '@shaleyoke/core/domain/machine';
 import { SECOND } from '@shaleyoke/core/domain/time';
 import { LoopbackCloud } from '@shaleyoke/emulator/loopback-cloud';
-import { freePorts, httpCall, type HttpServer, startServer } from '@shaleyoke/emulator/loopback-http';
+import { freePortsFrom, httpCall, type HttpServer, startServer } from '@shaleyoke/emulator/loopback-http';
 import { serveCloud } from '@shaleyoke/emulator/loopback-stand-ins';
 import { LoopbackWorker, type PlacedTask, type WorkerHost } from '@shaleyoke/emulator/loopback-workers';
 import { StateModel } from '@shaleyoke/emulator/state-model';
@@ -281,7 +281,8 @@
     const { site, kubeTenants, budgets } = this.options;
     const cloud = await serveCloud((op) => this.cloud.apply(op));
     this.servers.push(cloud);
-    const ports = await freePorts(9);
+    // Below the range from which the system gives ports to outgoing connections.
+    const ports = await freePortsFrom(12_000 + Math.floor(Math.random() * 18_000), 9);
     const at = (i: number): string => `127.0.0.1:${ports[i]}`;
     const run = /^run = "(.*)"$/m.exec(readFileSync('deploy/service.toml', 'utf8'));
     if (run === null) throw new Error('deploy/service.toml has no run');
