--- a/review/lib-2/deployment.mts
+++ b/review/lib-2/deployment.mts
@@ -395,7 +395,7 @@
     const type = this.options.site.types[0]!;
     this.cloud.apply({
       kind: 'rent',
-      request: 'r-start',
+      request: `r-start-${spot}`,
       type: type.name,
       zone: this.options.site.zone,
       spot,
