Place the members of a gang at once, or not at all

Cause: members that found no room were placed one after the other in the same room, and moved to one start afterwards unchecked. A plan so held a place for each task, and each place kept a copy of its machine's changes in the undo log.

Change: a placement counts only if at the common start every member has its room at once; otherwise the gang is placed at the earliest time from which all fit. A gang that machines and offers together never hold has no placement and takes no quota, turn, pool, machine or preemption; job.exceeds_capacity tells the operator. So a plan is bounded by machines and offers. An offer holds 50 machines for one plan, but 200 for a gang until the cloud refuses; otherwise gangs of more than 50 machines, which were provisioned bit by bit, would wait for ever on an empty cluster.

--- a/packages/core/src/domain/log-events.ts
+++ b/packages/core/src/domain/log-events.ts
@@ -28,6 +28,7 @@
   | 'job.dependencies_met'
   | 'job.discovered'
   | 'job.ended'
+  | 'job.exceeds_capacity'
   | 'job.failing_everywhere'
   | 'job.record_unreadable'
   | 'job.tasks_dispatched'
--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -189,17 +189,18 @@
     const { snapshotBuilder, autoscaler } = this.parts;
     const clock = new PlanClock(context.processorTime);
     this.refreshDeadlineChains();
-    const waiting = this.waitingGroups.collect(urgentOnly);
-    const groupsUs = clock.elapsed();
-    const hypothetical = urgentOnly ? [] : this.hypotheticalGroups();
     const snapshot = snapshotBuilder.build(autoscaler.availableOffers(), autoscaler.recentSpecs());
     const snapshotUs = clock.elapsed();
+    const waiting = this.waitingGroups.collect(urgentOnly, snapshot.totalCapacity);
+    const hypothetical = urgentOnly ? [] : this.hypotheticalGroups();
+    const preparationUs = clock.elapsed();
+    const groupsUs = preparationUs - snapshotUs;
     const search = new PlacementSearch(
       snapshot,
       [...waiting.groups, ...hypothetical],
       waiting.backfill,
       this.searchLimits(),
-      () => clock.elapsed() - snapshotUs,
+      () => clock.elapsed() - preparationUs,
     );
     const cost = { groupsUs, searchUs: clock.elapsed() - groupsUs, commitUs: 0 };
     this.currentRun = new PlanRun(urgentOnly, waiting, context.now, clock, cost, search);
--- a/packages/core/src/leader/waiting-groups.ts
+++ b/packages/core/src/leader/waiting-groups.ts
@@ -9,8 +9,10 @@
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { Autoscaler } from '../machines/autoscaler.js';
 import type { BackfillWork } from '../scheduling/placement-search.js';
-import { gpuKind, type TaskGroup, taskKind } from '../scheduling/plan-input.js';
+import { gpuKind, type TaskGroup } from '../scheduling/plan-input.js';
 import type { QueueOrder } from '../scheduling/queue-order.js';
+import { taskKind } from '../scheduling/task-kind.js';
+import type { TotalCapacity } from '../scheduling/total-capacity.js';
 import { upcomingStages } from '../scheduling/upcoming-stages.js';
 
 /** Maximum number of tasks per job for which the search compares placements. */
@@ -41,6 +43,8 @@
 /** Collects the waiting and the upcoming work that a plan places. */
 export class WaitingGroups {
   private readonly teams: ReadonlyMap<string, Team>;
+  /** Gangs that were logged as exceeding the capacity. */
+  private readonly loggedGangs = new WeakSet<ActiveJob>();
 
   constructor(
     private readonly term: LeaderTerm,
@@ -49,13 +53,16 @@
     this.teams = new Map(term.context.settings.teams.map((team) => [team.name, team]));
   }
 
-  /** All work that may start within the quotas of its teams; with `urgentOnly`, only work that must start at once. */
-  collect(urgentOnly: boolean): WaitingWork {
+  /**
+   * All work that may start within the quotas of its teams; with `urgentOnly`, only work that must start at once. Gangs that
+   * `totalCapacity` never holds at once are left out: they would take quota, turns and the places of other groups in vain.
+   */
+  collect(urgentOnly: boolean, totalCapacity: TotalCapacity): WaitingWork {
     const usage = this.term.cluster.usage();
     const jobs = new Map<TaskGroup, ActiveJob>();
     const groups: TaskGroup[] = [];
     const overflowJobs: ActiveJob[] = [];
-    const order = this.parts.queueOrder.startableJobs();
+    const order = this.parts.queueOrder.startableJobs((job) => this.fitsAtOnce(job, totalCapacity));
     const lowestPriority = order.reduce((least, { priority }) => Math.min(least, priority), 3);
     // Work with and without GPUs is limited separately, so that many waiting gangs don't keep arrays out of the plan.
     const groupCounts = [0, 0];
@@ -84,6 +91,18 @@
     };
   }
 
+  /** Whether all tasks that have to run at the same time could do so; logs a gang that is found too large. */
+  private fitsAtOnce(job: ActiveJob, totalCapacity: TotalCapacity): boolean {
+    const { spec } = job;
+    if (spec.shape !== 'gang' || totalCapacity.holdsAtOnce(spec, spec.tasks)) return true;
+    if (!this.loggedGangs.has(job)) {
+      this.loggedGangs.add(job);
+      const capacity = totalCapacity.tasksAtOnce(spec);
+      this.term.context.info('job.exceeds_capacity', { job: job.id, tasks: spec.tasks, capacity });
+    }
+    return false;
+  }
+
   /** Generates groups on demand, possibly in a later slice; skips jobs that can't start any more by then. */
   private *backfillGroups(
     overflowJobs: readonly ActiveJob[],
--- a/packages/core/src/machines/capacity-offers.ts
+++ b/packages/core/src/machines/capacity-offers.ts
@@ -6,6 +6,10 @@
 
 /** Maximum number of machines in one provisioning request. */
 export const MAX_MACHINES_PER_REQUEST = 50;
+/** Maximum number of machines of one kind that a gang may count on beyond the existing ones: those of four requests. */
+const MAX_MACHINES_PER_GANG = 4 * MAX_MACHINES_PER_REQUEST;
+/** After a refusal, a gang may count on no more than one request for this time. */
+const REFUSAL_MEMORY: Micros = 300 * SECOND;
 /** Backoff after a refusal, multiplied by the number of consecutive refusals. */
 const REFUSAL_BACKOFF: Micros = 8 * SECOND;
 const MAX_COUNTED_REFUSALS = 3;
@@ -20,6 +24,8 @@
   refusedUntil: Micros;
   /** Number of consecutive refusals, up to a limit. */
   refusals: number;
+  /** When the cloud last provisioned fewer machines than requested; -Infinity if never. */
+  lastRefusedAt: Micros;
   /** Whether a request has not been answered yet. */
   inFlight: boolean;
 }
@@ -40,11 +46,18 @@
         for (const spot of [false, true]) {
           const state = this.states.get(offerKey(type.name, zone, spot));
           if (state !== undefined && !this.isAvailable(state)) continue;
-          offers.push({ type, zone, spot, limit: MAX_MACHINES_PER_REQUEST });
+          const gangLimit = this.gangLimit(state);
+          offers.push({ type, zone, spot, limit: MAX_MACHINES_PER_REQUEST, gangLimit });
         }
     return offers;
   }
 
+  /** A gang must be provisioned for as a whole, but the cloud's capacity is not known until it refuses a request. */
+  private gangLimit(state: OfferState | undefined): number {
+    const wasRefused = state !== undefined && this.context.now - state.lastRefusedAt < REFUSAL_MEMORY;
+    return wasRefused ? MAX_MACHINES_PER_REQUEST : MAX_MACHINES_PER_GANG;
+  }
+
   /** Whether a request may be sent now: none is in flight, and the backoff is over. */
   isAvailable(state: OfferState): boolean {
     return !state.inFlight && state.refusedUntil <= this.context.now;
@@ -55,13 +68,17 @@
     const key = offerKey(type.name, zone, spot);
     let state = this.states.get(key);
     if (state === undefined)
-      this.states.set(key, (state = { refusedUntil: 0, refusals: 0, inFlight: false }));
+      this.states.set(
+        key,
+        (state = { refusedUntil: 0, refusals: 0, lastRefusedAt: -Infinity, inFlight: false }),
+      );
     return state;
   }
 
   /** Starts the backoff after the cloud provisioned fewer machines than requested, or none. */
   recordRefusal(state: OfferState): void {
     state.refusals = Math.min(state.refusals + 1, MAX_COUNTED_REFUSALS);
+    state.lastRefusedAt = this.context.now;
     state.refusedUntil = this.context.now + REFUSAL_BACKOFF * state.refusals;
   }
 
--- a/packages/core/src/scheduling/backfill.ts
+++ b/packages/core/src/scheduling/backfill.ts
@@ -4,11 +4,13 @@
  * identical jobs cost about as much as one.
  */
 import { reservePools, tasksFittingNow } from './free-capacity.js';
-import { bestOptions, placeGroup, tasksAllowedInZone, zoneChoices } from './group-placement.js';
+import { placeGroup, zoneChoices } from './group-placement.js';
 import { canStartNow } from './initial-placement.js';
 import type { ZoneFilter } from './placement-options.js';
 import type { PlacementSimulation } from './placement-simulation.js';
-import { type PlacementOption, type PlanStep, type TaskGroup, taskKind } from './plan-input.js';
+import type { PlacementOption, PlanStep, TaskGroup } from './plan-input.js';
+import { bestOptions, tasksAllowedInZone } from './task-distribution.js';
+import { taskKind } from './task-kind.js';
 
 /** Maximum number of tasks of one job that a plan provisions machines for. */
 const MAX_PROVISIONED_TASKS = 160;
--- a/packages/core/src/scheduling/free-capacity.ts
+++ b/packages/core/src/scheduling/free-capacity.ts
@@ -90,8 +90,12 @@
   }
 };
 
-/** Reserves all pools that the group could use: no work of lower priority starts there. */
-export const reservePools = (simulation: PlacementSimulation, { spec }: TaskGroup): void => {
+/**
+ * Reserves all pools that the group could use: no work of lower priority starts there. A gang that the machines and offers
+ * never hold at once reserves nothing.
+ */
+export const reservePools = (simulation: PlacementSimulation, { spec, count }: TaskGroup): void => {
+  if (spec.shape === 'gang' && !simulation.snapshot.totalCapacity.holdsAtOnce(spec, count)) return;
   for (const pool of simulation.pools)
     if (poolMatches(pool, spec)) pool.reservedPriority = Math.max(pool.reservedPriority, spec.priority);
 };
--- a/packages/core/src/scheduling/option-evaluator.ts
+++ b/packages/core/src/scheduling/option-evaluator.ts
@@ -73,8 +73,11 @@
     const pullTime = imagePullTime(spec, slot);
     const duration = pullTime + this.runTime(group, slot.type);
     if (slot.readyAt + duration + scaleOutPenalty >= bound) return null;
-    const start = earliestStart(slot, spec, duration, this.availableCapacity, group.notBefore);
+    const occupiedFor = group.excludesLaterWork === true ? Infinity : duration;
+    const start = earliestStart(slot, spec, occupiedFor, this.availableCapacity, group.notBefore);
     if (start === null) return null;
+    // Capacity behind a service never becomes free, so that a gang that counts on it would hold its other machines in vain.
+    if (spec.shape === 'gang' && start >= UNBOUNDED_RUN_TIME) return null;
     const finish = start + duration;
     const gap = this.tasksInGap(spec, slot.type);
     const price = slot.sunkCost ? 1 : relativeMachinePrice(this.snapshot, group, slot.type, slot.spot);
--- a/packages/core/src/scheduling/placement-options.ts
+++ b/packages/core/src/scheduling/placement-options.ts
@@ -50,10 +50,8 @@
     for (const pool of this.pools.values())
       if (poolAccepts(pool, spec) && zoneAllowed(pool.zone))
         bound = this.visitPool(group, pool, wantedTasks, bound, visit);
-    for (const offer of this.snapshot.offers) {
-      const { type, zone, spot } = offer;
-      if (!isPlacementAllowed(spec, type.name, zone, spot) || !fits(spec, type) || !zoneAllowed(zone))
-        continue;
+    for (const offer of this.offersFor(group)) {
+      if (!zoneAllowed(offer.zone)) continue;
       const option = this.evaluateOffer(group, offer, bound);
       if (option !== null) bound = visit(option);
     }
@@ -66,22 +64,26 @@
 
   /** The option on a machine provisioned from the offer; null if none is left or its rank is not below the bound. */
   evaluateOffer(group: TaskGroup, offer: CapacityOffer, bound: Micros): PlacementOption | null {
-    if (!this.isAvailable(offer)) return null;
+    if (this.remainingMachines(group, offer) <= 0) return null;
     return this.evaluator.evaluate(group, this.virtualPlacement(offer), offer, bound);
   }
 
   /** Whether any offer that suits the group has machines left to provision. */
-  canScaleOut({ spec }: TaskGroup): boolean {
-    return this.snapshot.offers.some(
-      (offer) =>
-        isPlacementAllowed(spec, offer.type.name, offer.zone, offer.spot) &&
-        fits(spec, offer.type) &&
-        this.isAvailable(offer),
+  canScaleOut(group: TaskGroup): boolean {
+    return this.offersFor(group).some((offer) => this.remainingMachines(group, offer) > 0);
+  }
+
+  /** Offers of machines on which the group's tasks may run. */
+  offersFor({ spec }: TaskGroup): CapacityOffer[] {
+    return this.snapshot.offers.filter(
+      ({ type, zone, spot }) => isPlacementAllowed(spec, type.name, zone, spot) && fits(spec, type),
     );
   }
 
-  private isAvailable(offer: CapacityOffer): boolean {
-    return (this.snapshot.provisioned.get(offer) ?? 0) < offer.limit;
+  /** Number of machines that may still be provisioned from the offer for the group. */
+  remainingMachines({ spec }: TaskGroup, offer: CapacityOffer): number {
+    const limit = spec.shape === 'gang' ? (offer.gangLimit ?? offer.limit) : offer.limit;
+    return limit - (this.snapshot.provisioned.get(offer) ?? 0);
   }
 
   private visitMachines(
--- a/packages/core/src/scheduling/placement-simulation.ts
+++ b/packages/core/src/scheduling/placement-simulation.ts
@@ -8,7 +8,7 @@
 import type { MachineType } from '../domain/machine.js';
 import type { Amounts } from '../domain/resources.js';
 import type { Micros } from '../domain/time.js';
-import { capacityTaken, firstFit, insertChanges } from './capacity-timeline.js';
+import { capacityTaken, earliestStart, firstFit, insertChanges } from './capacity-timeline.js';
 import {
   appendPlacement,
   emptyPool,
@@ -47,6 +47,8 @@
 const equivalenceKeyOf = ({ type, zone, spot, sunkCost, free, images }: MachineSlot): string =>
   `${type.name}|${sunkCost ? 'sunk' : ''}|${zone}|${spot ? 's' : 'o'}|${free.cores}|${free.gpus}|${free.memoryGb}|${[...images].join()}`;
 
+const NO_AMOUNTS: Readonly<Amounts> = { cores: 0, gpus: 0, memoryGb: 0 };
+
 /** Amounts that `count` tasks of the job need. */
 const demandOf = (spec: JobSpec, count: number): Amounts => ({
   cores: spec.cores * count,
@@ -199,29 +201,45 @@
 
   /** Places `count` tasks of the group on the machine from `start` to `finish`. */
   occupy(placement: Placement, group: TaskGroup, count: number, start: Micros, finish: Micros): void {
+    const demand = demandOf(group.spec, count);
+    this.take(placement, group, demand, start, { at: finish, ...demand });
+  }
+
+  /**
+   * Places `count` tasks that keep their capacity for the rest of the simulation. The machine still counts as in use until
+   * `finish` only.
+   */
+  hold(placement: Placement, group: TaskGroup, count: number, start: Micros, finish: Micros): void {
+    this.take(placement, group, demandOf(group.spec, count), start, { at: finish, ...NO_AMOUNTS });
+  }
+
+  private take(
+    placement: Placement,
+    { spec }: TaskGroup,
+    demand: Amounts,
+    start: Micros,
+    later: CapacityChange,
+  ): void {
     this.logUndo(placement);
     const { slot } = placement;
-    const { spec } = group;
-    const demand = demandOf(spec, count);
     if (start <= slot.readyAt) {
       slot.free = {
         cores: slot.free.cores - demand.cores,
         gpus: slot.free.gpus - demand.gpus,
         memoryGb: slot.free.memoryGb - demand.memoryGb,
       };
-      insertChanges(slot, { at: finish, ...demand });
-    } else insertChanges(slot, capacityTaken(start, demand), { at: finish, ...demand });
+      insertChanges(slot, later);
+    } else insertChanges(slot, capacityTaken(start, demand), later);
     if (!slot.images.has(spec.image)) slot.images = new Set(slot.images).add(spec.image);
     slot.used = true;
     this.updateEarliestFit(placement);
   }
 
-  /** Keeps the capacity of `count` tasks that would be freed at `from` occupied until `until`. */
-  extend(placement: Placement, group: TaskGroup, count: number, from: Micros, until: Micros): void {
-    this.logUndo(placement);
+  /** Whether `count` tasks of the group have room on the machine from `start` to `finish`. */
+  hasRoom(placement: Placement, group: TaskGroup, count: number, start: Micros, finish: Micros): boolean {
+    const free = { ...NO_AMOUNTS };
     const demand = demandOf(group.spec, count);
-    insertChanges(placement.slot, capacityTaken(from, demand), { at: until, ...demand });
-    this.updateEarliestFit(placement);
+    return earliestStart(placement.slot, demand, finish - start, free, start) === start;
   }
 
   /** Adds the option's machine to the snapshot if it has to be provisioned; does nothing for an existing machine. */
--- a/packages/core/src/scheduling/plan-input.ts
+++ b/packages/core/src/scheduling/plan-input.ts
@@ -3,6 +3,7 @@
 import type { JobSpec } from '../domain/job.js';
 import type { MachineType } from '../domain/machine.js';
 import type { Micros } from '../domain/time.js';
+import type { TotalCapacity } from './total-capacity.js';
 
 /** A combination of machine type, zone and purchase option that may be provisioned from the cloud. */
 export interface CapacityOffer {
@@ -11,6 +12,8 @@
   readonly spot: boolean;
   /** Maximum number of machines that one plan may provision from this offer. */
   readonly limit: number;
+  /** Maximum number of machines that a gang may count on, provisioned over several plans; `limit` if undefined. */
+  readonly gangLimit?: number;
 }
 
 /** Identical waiting tasks of one job, with the limits on where and when they may start. */
@@ -42,6 +45,8 @@
   readonly reservedForUrgent?: boolean;
   /** Earliest time at which the group may start. */
   readonly notBefore?: Micros;
+  /** Whether a placement must keep its capacity from its start on, whatever else is planned there for later. */
+  readonly excludesLaterWork?: boolean;
   /** Cache of relative prices by machine type and purchase option. */
   readonly relativePrices: Map<string, number>;
   /** Cache of predicted run times by machine type. */
@@ -72,6 +77,8 @@
   slots: MachineSlot[];
   /** Machines that may be provisioned from the cloud. */
   readonly offers: readonly CapacityOffer[];
+  /** What the machines and offers hold at the same time; the machines that the plan provisions don't change it. */
+  readonly totalCapacity: TotalCapacity;
   /** Number of machines that the plan provisions, by offer. */
   provisioned: Map<CapacityOffer, number>;
   /** Predicts the run times of waiting tasks. */
@@ -119,16 +126,5 @@
 /** Both values of `GpuKind`, for iteration. */
 export const GPU_KINDS: readonly GpuKind[] = [0, 1];
 
-/** The needs and placement constraints of a task as text: equal for tasks that fit on the same machines. */
-export const taskKind = (spec: JobSpec): string =>
-  [
-    spec.cores,
-    spec.gpus,
-    spec.memoryGb,
-    spec.zone ?? '*',
-    spec.spot,
-    spec.machineTypes?.join('+') ?? '*',
-  ].join('|');
-
 /** The `GpuKind` of the job: 1 if its tasks need GPUs, otherwise 0. */
 export const gpuKind = (spec: JobSpec): GpuKind => (spec.gpus > 0 ? 1 : 0);
--- a/packages/core/src/scheduling/preemption-candidates.ts
+++ b/packages/core/src/scheduling/preemption-candidates.ts
@@ -5,7 +5,7 @@
 import type { MachineType } from '../domain/machine.js';
 import { addTo, type Amounts, fits, isPlacementAllowed, subtractFrom } from '../domain/resources.js';
 import { type Micros, SECOND } from '../domain/time.js';
-import { taskKind } from './plan-input.js';
+import { taskKind } from './task-kind.js';
 
 /** Minimum run time before an attempt is stopped: a start followed by a stop within half a minute achieves nothing. */
 export const MIN_RUN_BEFORE_STOP: Micros = 35 * SECOND;
--- a/packages/core/src/scheduling/queue-order.ts
+++ b/packages/core/src/scheduling/queue-order.ts
@@ -78,9 +78,14 @@
     return this.turns.get(job.spec.team)?.job === job;
   }
 
-  /** All startable jobs in queue order. Also begins and ends fair-share turns. */
-  startableJobs(): ActiveJob[] {
-    const startable = [...this.cluster.jobs.values()].filter((job) => this.cluster.isStartable(job));
+  /**
+   * All startable jobs that `canBePlaced` accepts, in queue order. Also begins and ends fair-share turns. A job that can't be
+   * placed gets no turn and counts for no guarantee or objective, since it would take them from jobs that can.
+   */
+  startableJobs(canBePlaced: (job: ActiveJob) => boolean = () => true): ActiveJob[] {
+    const startable = [...this.cluster.jobs.values()].filter(
+      (job) => this.cluster.isStartable(job) && canBePlaced(job),
+    );
     const waiting = fairShareOrder(startable, this.context.settings.teams);
     const exempt = this.exemptFromObjectives(waiting);
     const groups = groupByPriorityAndPool(waiting.filter((job) => !exempt.has(job)));
--- a/packages/core/src/scheduling/snapshot-builder.ts
+++ b/packages/core/src/scheduling/snapshot-builder.ts
@@ -7,6 +7,7 @@
 import { type Micros, MILLISECOND, SECOND } from '../domain/time.js';
 import type { NodeContext } from '../node/node-context.js';
 import type { CapacityOffer, ClusterSnapshot } from './plan-input.js';
+import { TotalCapacity } from './total-capacity.js';
 
 /** How long a machine's slot is cached while the machine doesn't change. */
 const SLOT_CACHE_TIME: Micros = 2_500 * MILLISECOND;
@@ -47,12 +48,16 @@
       const slot = type === undefined ? null : this.slotOf(machine, type, costSensitive);
       if (slot !== null) slots.push(slot);
     }
+    const totalCapacity = new TotalCapacity();
+    for (const slot of slots) totalCapacity.addSlot(slot);
+    for (const offer of offers) totalCapacity.addOffer(offer);
     return {
       now,
       slots,
       types: [...machineTypes.values()],
       offers,
       recurringSpecs,
+      totalCapacity,
       provisioned: new Map(),
       predictor: {
         runTime: (spec, type, checkpointedProgress) =>
--- a/packages/core/test/cluster-fixtures.ts
+++ b/packages/core/test/cluster-fixtures.ts
@@ -7,6 +7,7 @@
 import { SECOND } from '@shaleyoke/core/domain/time';
 import type { SearchLimits } from '@shaleyoke/core/scheduling/placement-search';
 import type { CapacityOffer, ClusterSnapshot, TaskGroup } from '@shaleyoke/core/scheduling/plan-input';
+import { TotalCapacity } from '@shaleyoke/core/scheduling/total-capacity';
 import { MACHINE_TYPE } from '@shaleyoke/emulator/site';
 
 /** Search limits that no test reaches. */
@@ -59,6 +60,13 @@
   ...overrides,
 });
 
+const totalCapacityOf = (slots: readonly MachineSlot[], offers: readonly CapacityOffer[]): TotalCapacity => {
+  const totalCapacity = new TotalCapacity();
+  for (const slot of slots) totalCapacity.addSlot(slot);
+  for (const offer of offers) totalCapacity.addOffer(offer);
+  return totalCapacity;
+};
+
 /** A snapshot at time 0; `runSeconds` gives the predicted run time by machine type, 10 s for types not listed. */
 export const snapshotOf = (
   slots: MachineSlot[],
@@ -70,6 +78,7 @@
   offers,
   provisioned: new Map(),
   types: slots.map((slot) => slot.type),
+  totalCapacity: totalCapacityOf(slots, offers),
   predictor: { runTime: (_spec, type) => (runSeconds[type.name] ?? 10) * SECOND },
 });
 
--- a/packages/demo/test/single-controller.ts
+++ b/packages/demo/test/single-controller.ts
@@ -20,6 +20,8 @@
 export interface SingleControllerOptions {
   /** Records that the store holds before the controller starts, by key. */
   readonly records?: Readonly<Record<string, unknown>>;
+  /** Capacity of the cloud, per machine type and zone. */
+  readonly perZone?: number;
   /** Receives the lines that the controller logs. */
   readonly log?: (line: string) => void;
 }
@@ -27,14 +29,14 @@
 /** Runs one controller, and calls `check` once it leads. */
 export const withController = async (
   check: (controller: SingleController) => Promise<void>,
-  { records = {}, log }: SingleControllerOptions = {},
+  { records = {}, perZone = 1, log }: SingleControllerOptions = {},
 ): Promise<void> => {
   const deployment = new LoopbackDeployment({
     program: PROGRAM,
     nodes: 1,
     teams: ['a'],
     types: [MACHINE_TYPE],
-    perZone: 1,
+    perZone,
     budgets: null,
     log:
       log === undefined
