Let a gang have as many new machines as it needs

Callers would have seen: since a gang that needed more than about eight machines from an offer had no placement, and waited until others' machines became free.

Cause: a placement by rank ends after eight enumerations of the machines, but each enumeration yielded one machine of an offer, since a further one was dropped when no better option was listed. The generated clusters of the test had offers of four machines at most.

Change: a further machine of the offer just used always follows, as it is as good as that one, which was the best. A gang of over 1,000 members goes to its earliest common start at once, where each machine has one step; by rank it may have one for each member.

--- a/packages/core/src/scheduling/gang-placement.ts
+++ b/packages/core/src/scheduling/gang-placement.ts
@@ -12,6 +12,8 @@
 
 /** Enumerations of all machines for a placement by rank; a gang that needs more is placed at its earliest common start. */
 const MAX_ENUMERATIONS = 8;
+/** Members of a gang that is placed by rank, since that may take a step for each of them. */
+const MAX_MEMBERS_BY_RANK = 1_000;
 
 /** Chooses machines for all members, of which none frees its capacity for another one. Changes nothing. */
 const chooseMachines = (
@@ -20,6 +22,7 @@
   zone: string | null,
   first: PlacementOption | null,
   accept: OptionFilter,
+  maxEnumerations: number,
 ): Chunk[] | null => {
   const mark = simulation.mark();
   const chunks = distributeTasks(simulation, group, {
@@ -29,7 +32,7 @@
     place: ({ option, count }) => {
       simulation.hold(option.placement, group, count, option.start, option.finish);
     },
-    maxEnumerations: MAX_ENUMERATIONS,
+    maxEnumerations,
   });
   simulation.rollback(mark);
   return chunks;
@@ -75,7 +78,8 @@
   first: PlacementOption | null,
   accept: OptionFilter,
 ): PlanStep[] | null => {
-  const chunks = chooseMachines(simulation, group, zone, first, accept);
+  if (group.count > MAX_MEMBERS_BY_RANK) return null;
+  const chunks = chooseMachines(simulation, group, zone, first, accept, MAX_ENUMERATIONS);
   return chunks === null ? null : placeTogether(simulation, group, chunks);
 };
 
@@ -88,7 +92,8 @@
   const start = earliestCommonStart(simulation, group, zone);
   if (start === null) return null;
   const waiting: TaskGroup = { ...group, notBefore: start, excludesLaterWork: true };
-  const chunks = chooseMachines(simulation, waiting, zone, null, (option) => option.start <= start);
+  const accept: OptionFilter = (option) => option.start <= start;
+  const chunks = chooseMachines(simulation, waiting, zone, null, accept, Infinity);
   return chunks === null ? null : placeTogether(simulation, group, chunks);
 };
 
--- a/packages/core/src/scheduling/task-distribution.ts
+++ b/packages/core/src/scheduling/task-distribution.ts
@@ -57,11 +57,14 @@
   options: PlacementOption[],
   accept: OptionFilter,
 ): void => {
-  const bound = options[options.length - 1]!.rank;
+  const last = options[options.length - 1];
   const reusable = group.allowedMachines !== null || placement.slot.machine !== null || offer !== null;
-  const next = reusable ? simulation.options.evaluate(group, placement, bound) : null;
+  // Without a bound by other options, the machine can't be compared with those that were not listed.
+  const next =
+    reusable && last !== undefined ? simulation.options.evaluate(group, placement, last.rank) : null;
   if (next !== null && accept(next)) insertOption(options, next);
-  const another = offer === null ? null : simulation.options.evaluateOffer(group, offer, bound);
+  // Another machine of the offer is as good as the one just used, which was the best.
+  const another = offer === null ? null : simulation.options.evaluateOffer(group, offer, Infinity);
   if (another !== null && accept(another)) insertOption(options, another);
 };
 
@@ -115,7 +118,7 @@
     used.set(slot.zone, (used.get(slot.zone) ?? 0) + count);
     chunks.push(chunk);
     remaining -= count;
-    if (remaining > 0 && options.length > 0) addFollowUpOptions(simulation, group, option, options, accept);
+    if (remaining > 0) addFollowUpOptions(simulation, group, option, options, accept);
   }
   return chunks;
 };
--- a/packages/core/test/gang-placement.test.ts
+++ b/packages/core/test/gang-placement.test.ts
@@ -66,7 +66,7 @@
     type,
     zone: `zone-${random.below(zones)}`,
     spot: random.chance(0.3),
-    limit: 1 + random.below(4),
+    limit: 1 + random.below(random.chance(0.3) ? 60 : 4),
   }));
 
 const isAllowed = (spec: JobSpec, zone: string, spot: boolean): boolean =>
@@ -256,3 +256,14 @@
     'without an offer, the machine is left to other work',
   );
 });
+
+test('a gang gets all its machines from one offer when the cluster is empty', () => {
+  // Guards against a bound on a plan's work that leaves gangs of more than a few new machines without a placement.
+  const type = typeOf('node', { cores: 32, bootUs: 40 * SECOND });
+  const offer: CapacityOffer = { type, zone: 'a', spot: false, limit: 50, gangLimit: 200 };
+  for (const tasks of [24, 128, 200]) {
+    const gang = groupOf(makeJobSpec('run-1', { shape: 'gang', tasks, cores: 30, sameZone: true }));
+    const decision = search(snapshotOf([], { node: 8 }, [offer]), [gang], SEARCH_LIMITS, stoppedClock);
+    assert.equal(decision.snapshot.provisioned.get(offer), tasks);
+  }
+});
