Plan a long array for the rounds that come first only

Callers would have seen: where many arrays wait for few machines, plans that hold the leader up and take most of its heap.

Cause: of each array 160 tasks are placed, on one machine if there is only one, and 13 arrays deep in each play-out. 64 arrays of 160 on one machine left 4,159 planned changes on it; each place copies that list.

Change: the tasks of an array fill all machines and offers four times at most. With any offer left that is far over 160 tasks, so only what can't be provisioned for is cut.

Test, red before: 4,159 planned changes in placement-search.test.ts.

--- a/packages/core/src/scheduling/gang-placement.ts
+++ b/packages/core/src/scheduling/gang-placement.ts
@@ -25,7 +25,7 @@
   maxEnumerations: number,
 ): Chunk[] | null => {
   const mark = simulation.mark();
-  const chunks = distributeTasks(simulation, group, {
+  const chunks = distributeTasks(simulation, group, group.count, {
     zone,
     first,
     accept,
--- a/packages/core/src/scheduling/group-placement.ts
+++ b/packages/core/src/scheduling/group-placement.ts
@@ -5,6 +5,9 @@
 import type { PlacementOption, PlanStep, TaskGroup } from './plan-input.js';
 import { acceptAny, distributeTasks } from './task-distribution.js';
 
+/** Number of times that the tasks of one array may fill all machines and offers in a plan. */
+const MAX_ROUNDS = 4;
+
 /** Penalty for each machine that has to be provisioned; decides between zones with nearly equal finish times. */
 const PROVISIONED_MACHINE_PENALTY: Micros = 1_000;
 
@@ -18,14 +21,19 @@
   return inUse.length > 0 ? inUse.slice(0, 1) : simulation.zones;
 };
 
-/** Places tasks that need not run at the same time, so that some may follow others on the same machine. */
+/**
+ * Places tasks that need not run at the same time, so that some may follow others on the same machine. Of an array that
+ * would run in many rounds only the first ones are placed.
+ */
 const placeTasks = (
   simulation: PlacementSimulation,
   group: TaskGroup,
   zone: string | null,
   first: PlacementOption | null,
 ): PlanStep[] | null => {
-  const chunks = distributeTasks(simulation, group, {
+  const count = Math.min(group.count, MAX_ROUNDS * simulation.snapshot.totalCapacity.tasksAtOnce(group.spec));
+  if (count <= 0) return null;
+  const chunks = distributeTasks(simulation, group, count, {
     zone,
     first,
     accept: acceptAny,
--- a/packages/core/src/scheduling/task-distribution.ts
+++ b/packages/core/src/scheduling/task-distribution.ts
@@ -88,17 +88,18 @@
   readonly maxEnumerations: number;
 }
 
-/** Places the group's tasks in chunks, each at the option with the best rank. Returns null if some can't be placed. */
+/** Places `count` tasks in chunks, each at the option with the best rank. Returns null if some can't be placed. */
 export const distributeTasks = (
   simulation: PlacementSimulation,
   group: TaskGroup,
+  count: number,
   { zone, first, accept, place, maxEnumerations }: Distribution,
 ): Chunk[] | null => {
   const chunks: Chunk[] = [];
   const used = new Map<string, number>();
   const zoneAllowed: ZoneFilter = (name) =>
     (zone === null || name === zone) && tasksAllowedInZone(group, used, name) >= 1;
-  let remaining = group.count;
+  let remaining = count;
   let enumerations = 0;
   let options: PlacementOption[] = first === null ? [] : [first];
   while (remaining > 0) {
@@ -112,12 +113,12 @@
     if (!zoneAllowed(slot.zone)) continue;
     simulation.provision(option);
     // A chunk is limited to the tasks that can start on this machine at the same time.
-    const count = Math.min(remaining, option.count, tasksAllowedInZone(group, used, slot.zone));
-    const chunk = { option, count };
+    const tasks = Math.min(remaining, option.count, tasksAllowedInZone(group, used, slot.zone));
+    const chunk = { option, count: tasks };
     place(chunk);
-    used.set(slot.zone, (used.get(slot.zone) ?? 0) + count);
+    used.set(slot.zone, (used.get(slot.zone) ?? 0) + tasks);
     chunks.push(chunk);
-    remaining -= count;
+    remaining -= tasks;
     if (remaining > 0) addFollowUpOptions(simulation, group, option, options, accept);
   }
   return chunks;
--- a/packages/core/test/placement-search.test.ts
+++ b/packages/core/test/placement-search.test.ts
@@ -328,3 +328,21 @@
   assert.equal(startedNow([array, actualService, spreadReservation], 'run-3'), 4);
   assert.equal(startedNow([array, actualService, spreadReservation], 'run-2'), 8);
 });
+
+test('many arrays on one machine are planned for a few rounds, not for all their tasks', () => {
+  // Guards against plans whose memory grows with the square of the tasks that wait for one machine.
+  const type = typeOf('node', { cores: 32 });
+  const arrays = Array.from({ length: 64 }, (_, i) =>
+    groupOf(makeJobSpec(`run-${i}`, { tasks: 160, cores: 30 }), { reservesCapacity: true }),
+  );
+  const decision = search(
+    snapshotOf([slotOf('m1', type)], { node: 90 }),
+    arrays,
+    SEARCH_LIMITS,
+    stoppedClock,
+  );
+  assert.equal(decision.steps[0]?.start, 0, 'one task starts now');
+  assert.ok(decision.placementsExamined < 20_000, `${decision.placementsExamined} placements examined`);
+  const changes = decision.snapshot.slots[0]!.changes.length;
+  assert.ok(changes <= 160, `${changes} planned changes`);
+});
