Keep no capacity for a gang that never fits and is still blocked

An upcoming stage counts as an array of up to 160 tasks, so that machines would be rented for a gang that can never run as soon as its dependency is about to be done.

--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -11,6 +11,7 @@
 import type { PreemptionPlanner } from '../scheduling/preemption-planner.js';
 import type { QueueOrder } from '../scheduling/queue-order.js';
 import type { SnapshotBuilder } from '../scheduling/snapshot-builder.js';
+import type { TotalCapacity } from '../scheduling/total-capacity.js';
 import type { AttemptLifecycle } from '../tasks/attempt-lifecycle.js';
 import { PlacementCommit } from './placement-commit.js';
 import { PlanClock, PlanRun } from './plan-run.js';
@@ -192,7 +193,7 @@
     const snapshot = snapshotBuilder.build(autoscaler.availableOffers(), autoscaler.recentSpecs());
     const snapshotUs = clock.elapsed();
     const waiting = this.waitingGroups.collect(urgentOnly, snapshot.totalCapacity);
-    const hypothetical = urgentOnly ? [] : this.hypotheticalGroups();
+    const hypothetical = urgentOnly ? [] : this.hypotheticalGroups(snapshot.totalCapacity);
     const preparationUs = clock.elapsed();
     const groupsUs = preparationUs - snapshotUs;
     const search = new PlacementSearch(
@@ -215,12 +216,12 @@
   }
 
   /** Groups without real tasks, which reserve capacity for urgent work, arrivals and upcoming stages. */
-  private hypotheticalGroups(): TaskGroup[] {
+  private hypotheticalGroups(totalCapacity: TotalCapacity): TaskGroup[] {
     const { autoscaler } = this.parts;
     return [
       ...autoscaler.reservedForUrgent(),
       ...autoscaler.headroom(),
-      ...this.waitingGroups.upcomingStages(),
+      ...this.waitingGroups.upcomingStages(totalCapacity),
     ];
   }
 
--- a/packages/core/src/leader/waiting-groups.ts
+++ b/packages/core/src/leader/waiting-groups.ts
@@ -159,8 +159,11 @@
     };
   }
 
-  /** Hypothetical groups for blocked jobs whose dependencies are predicted to be met before a new machine could boot. */
-  upcomingStages(): TaskGroup[] {
+  /**
+   * Hypothetical groups for blocked jobs whose dependencies are predicted to be met before a new machine could boot, except for
+   * gangs that `totalCapacity` never holds at once.
+   */
+  upcomingStages(totalCapacity: TotalCapacity): TaskGroup[] {
     const { dependencies } = this.parts;
     const { context, cluster } = this.term;
     if (dependencies.blockedCount === 0) return [];
@@ -180,7 +183,8 @@
       predictedEnd,
       now + longestBoot,
     );
-    return upcoming.map(({ job, readyAt }) => ({
+    const placeable = upcoming.filter(({ job }) => this.fitsAtOnce(job, totalCapacity));
+    return placeable.map(({ job, readyAt }) => ({
       spec: {
         ...job.spec,
         shape: 'array',
