Do not call a gang too large while its machines are being requested

Operators would have seen job.exceeds_capacity for a gang that starts a minute later, and the gang lost its fair-share turn and its count in the demand forecast: since a gang beyond all machines and offers is left out of the queue, and an offer is not available while a request for it is unanswered (up to some ten seconds when the cloud doesn't answer).

Change: the capacity that decides whether a gang can ever run counts the offers whose request is in flight. Where the cloud has refused, it doesn't, so that the gang takes no quota from other jobs of its team meanwhile. What a plan may place is as before.

--- a/packages/core/src/leader/planner.ts
+++ b/packages/core/src/leader/planner.ts
@@ -192,8 +192,10 @@
     this.refreshDeadlineChains();
     const snapshot = snapshotBuilder.build(autoscaler.availableOffers(), autoscaler.recentSpecs());
     const snapshotUs = clock.elapsed();
-    const waiting = this.waitingGroups.collect(urgentOnly, snapshot.totalCapacity);
-    const hypothetical = urgentOnly ? [] : this.hypotheticalGroups(snapshot.totalCapacity);
+    // A gang whose machines are being requested is not too large, although nothing more is offered until the answer.
+    const totalCapacity = snapshot.totalCapacity.withOffers(autoscaler.offersInFlight());
+    const waiting = this.waitingGroups.collect(urgentOnly, totalCapacity);
+    const hypothetical = urgentOnly ? [] : this.hypotheticalGroups(totalCapacity);
     const preparationUs = clock.elapsed();
     const groupsUs = preparationUs - snapshotUs;
     const search = new PlacementSearch(
--- a/packages/core/src/machines/autoscaler.ts
+++ b/packages/core/src/machines/autoscaler.ts
@@ -80,7 +80,7 @@
       const type = this.context.machineTypes.get(typeName);
       if (type !== undefined && retirementReason === null) totalCapacity.addMachine({ type, zone, spot });
     }
-    for (const offer of this.availableOffers()) totalCapacity.addOffer(offer);
+    for (const offer of [...this.availableOffers(), ...this.offersInFlight()]) totalCapacity.addOffer(offer);
     return totalCapacity;
   }
 
@@ -109,6 +109,11 @@
     return this.offers.available();
   }
 
+  /** Capacity that was requested, without an answer so far. */
+  offersInFlight(): CapacityOffer[] {
+    return this.offers.inFlight();
+  }
+
   /** Provisions the machines that a plan uses but that don't exist yet. */
   scaleOutFor(decision: SearchResult): void {
     // Existing machines are listed and recorded as pre-provisioned first, since those are never scaled in.
--- a/packages/core/src/machines/capacity-offers.ts
+++ b/packages/core/src/machines/capacity-offers.ts
@@ -40,12 +40,21 @@
 
   /** All kinds of capacity that may be requested now. */
   available(): CapacityOffer[] {
+    return this.offersWhere((state) => state === undefined || this.isAvailable(state));
+  }
+
+  /** All kinds of capacity whose last request has not been answered yet. */
+  inFlight(): CapacityOffer[] {
+    return this.offersWhere((state) => state?.inFlight === true);
+  }
+
+  private offersWhere(accept: (state: OfferState | undefined) => boolean): CapacityOffer[] {
     const offers: CapacityOffer[] = [];
     for (const type of this.context.machineTypes.values())
       for (const zone of type.zones)
         for (const spot of [false, true]) {
           const state = this.states.get(offerKey(type.name, zone, spot));
-          if (state !== undefined && !this.isAvailable(state)) continue;
+          if (!accept(state)) continue;
           const gangLimit = this.gangLimit(state);
           offers.push({ type, zone, spot, limit: MAX_MACHINES_PER_REQUEST, gangLimit });
         }
--- a/packages/core/src/scheduling/total-capacity.ts
+++ b/packages/core/src/scheduling/total-capacity.ts
@@ -65,6 +65,15 @@
     this.add({ type, zone, spot }, gangLimit ?? limit, type);
   }
 
+  /** A copy with further offers. */
+  withOffers(offers: readonly (MachineKind & OfferLimits)[]): TotalCapacity {
+    const total = new TotalCapacity();
+    for (const machineClass of this.classes.values())
+      total.add(machineClass, machineClass.machines, machineClass.capacity);
+    for (const offer of offers) total.addOffer(offer);
+    return total;
+  }
+
   private add({ type, zone, spot }: MachineKind, machines: number, capacity: Readonly<Amounts>): void {
     const key = `${type.name}|${zone}|${spot}|${capacity.cores}|${capacity.gpus}|${capacity.memoryGb}`;
     const machineClass = this.classes.get(key);
--- a/packages/core/test/oversized-gangs.test.ts
+++ b/packages/core/test/oversized-gangs.test.ts
@@ -61,3 +61,22 @@
   assert.ok(rentedWith(24) > rentedWith(null), 'machines are rented for a gang that fits');
   assert.equal(rentedWith(MAX_TASKS_PER_JOB), rentedWith(null));
 });
+
+test('a gang is not called too large while the request for its machines is unanswered', () => {
+  // Guards against a gang that loses its turn, and is reported as exceeding the capacity, because the cloud is slow to answer.
+  const simulation = emptyCluster(8);
+  const reported: unknown[] = [];
+  simulation.onLog = (_node, event, { job }) => {
+    if (event === 'job.exceeds_capacity') reported.push(job);
+  };
+  simulation.runFor(4 * SECOND);
+  simulation.cloud.downUntil = simulation.now + 8 * SECOND;
+  simulation.submit(makeJobSpec('run-1', { shape: 'gang', tasks: 6, estimatedRunUs: 5 * SECOND }));
+  simulation.submit(oversizedGang('run-2'));
+  for (let round = 0; round < 12; round++) {
+    simulation.runFor(5 * SECOND);
+    simulation.poll('run-1');
+  }
+  assert.deepEqual(unfinishedJobs(simulation, ['run-1']), []);
+  assert.deepEqual(reported, ['run-2'], 'only the gang that never fits is reported');
+});
