End the unsent members of a large gang one after the other

Callers would have seen a gang of 2,000 or more tasks that loses a machine before its start is sent, and an exception in the step that handles it: RangeError, maximum call stack size exceeded, with part of its members left over.

Cause: a member whose start was not sent ends at once when it is stopped, and the end of a member breaks its gang, which stops the next member: a few frames deeper for each one.

Change: while the members of a gang are being stopped, the end of one doesn't begin that anew for the rest.

--- a/packages/core/src/tasks/gang-attempts.ts
+++ b/packages/core/src/tasks/gang-attempts.ts
@@ -28,6 +28,9 @@
 
 /** Stops the remaining members of gangs whose attempt can no longer be complete. */
 export class GangSupervisor {
+  /** Gangs whose members are being stopped in this step: a member that was never sent ends while the others are visited. */
+  private readonly breaking = new Set<ActiveJob>();
+
   /** `stop`: stops an attempt; `graceUs` is the time to save its checkpoint, 0 stops it immediately. */
   constructor(
     private readonly term: LeaderTerm,
@@ -36,10 +39,15 @@
 
   /** Stops the remaining members of a gang immediately after one was lost. */
   breakGang(job: ActiveJob): void {
-    if (job.phase !== 'active' || job.isComplete) return;
+    if (job.phase !== 'active' || job.isComplete || this.breaking.has(job)) return;
     if (!job.gangBroken) this.term.context.info('gang.broken', { job: job.id, left: job.liveAttempts.size });
     job.gangBroken = true;
-    for (const member of unstoppedMembers(job)) this.stop(member, 0);
+    this.breaking.add(job);
+    try {
+      for (const member of unstoppedMembers(job)) this.stop(member, 0);
+    } finally {
+      this.breaking.delete(job);
+    }
   }
 
   /** Breaks gangs that are incomplete although every machine that may hold a member has been reconciled. */
