Let nothing but its live attempts tell that a gang is broken

Cause: the job kept a mark beside its attempts, which only the end of the last attempt cleared. A third path, found by the generated sequences: a member reported after its gang was broken was stopped by nobody.

Change: the mark is gone. A gang may start when it has no live attempts; of a gang that is not whole, each member is stopped that is not being stopped yet. So nothing can be left over, however an attempt ends. The drain uses the same way to stop a gang.

--- a/packages/core/src/cluster/cluster-model.ts
+++ b/packages/core/src/cluster/cluster-model.ts
@@ -67,8 +67,6 @@
   phase: 'active' | 'finishing' | 'ended' = 'active';
   /** Whether the job was cancelled by its owner. */
   cancelled = false;
-  /** Whether the gang lost a member, so that the others are being stopped. */
-  gangBroken = false;
   /** Whether its progress changed since it was last written to the store. */
   progressDirty = false;
   /** Whether its stored progress is unreadable, so that none of its tasks may be started. */
--- a/packages/core/src/cluster/cluster-state.ts
+++ b/packages/core/src/cluster/cluster-state.ts
@@ -65,7 +65,7 @@
 
   /** Whether the state of the job allows its tasks to start now, regardless of capacity. */
   isStartable(job: ActiveJob): boolean {
-    if (job.phase !== 'active' || job.gangBroken || job.isComplete || job.waitingCount <= 0) return false;
+    if (job.phase !== 'active' || job.isComplete || job.waitingCount <= 0) return false;
     if (job.progressUnreadable || job.blockedOnDependencies || job.admissionHold !== null) return false;
     if (job.retryNotBefore > this.context.now) return false;
     if (job.spec.shape === 'gang' && job.liveAttempts.size > 0) return false;
--- a/packages/core/src/tasks/attempt-lifecycle.ts
+++ b/packages/core/src/tasks/attempt-lifecycle.ts
@@ -205,8 +205,8 @@
     if (cause === 'error' && recordTaskFailure(this.term, machine, job)) this.retireFaulty(machine);
     if (cause === 'noRoom' || cause === 'busy' || cause === 'unknown')
       delayRetry(this.term, job, RETRY_SECONDS_AFTER_REJECTION);
-    if (job.spec.shape === 'gang' && cause !== 'done' && job.liveAttempts.size > 0) this.gangs.breakGang(job);
-    if (job.liveAttempts.size === 0) job.gangBroken = false;
+    if (job.spec.shape === 'gang' && cause !== 'done' && job.liveAttempts.size > 0)
+      this.gangs.breakGang(job, 0);
     this.events.attemptReleased(job);
     this.term.schedulePass();
   }
@@ -218,6 +218,11 @@
     this.events.retireWhenEmpty(machine, 'faulty', this.term.context.now + FAULTY_MACHINE_DRAIN_TIMEOUT);
   }
 
+  /** Stops all members of a gang of which one can't go on. `graceUs`: time to save a checkpoint; 0 stops them immediately. */
+  breakGang(job: ActiveJob, graceUs: Micros): void {
+    this.gangs.breakGang(job, graceUs);
+  }
+
   /** Stops the attempts of gangs that can no longer become complete, for example after a failover. */
   breakIncompleteGangs(): void {
     this.gangs.breakIncompleteGangs();
--- a/packages/core/src/tasks/command-queue.ts
+++ b/packages/core/src/tasks/command-queue.ts
@@ -37,7 +37,6 @@
     if (!isCurrent || attempt.state !== 'recording') return;
     const mayStart =
       job.phase === 'active' &&
-      !job.gangBroken &&
       !job.blockedOnDependencies &&
       machine.isUsable() &&
       machine.agentEpoch === attempt.agentEpoch &&
--- a/packages/core/src/tasks/gang-attempts.ts
+++ b/packages/core/src/tasks/gang-attempts.ts
@@ -15,7 +15,7 @@
 };
 
 /** Returns the live members without a pending stop, which are stopped when the gang attempt is broken. */
-export const unstoppedMembers = (job: ActiveJob): TaskAttempt[] =>
+const unstoppedMembers = (job: ActiveJob): TaskAttempt[] =>
   [...job.liveAttempts.values()].filter((member) => member.stopping === null);
 
 /** Returns the attempt number that an adopted member must have: the newest of the live members; null if there are none. */
@@ -26,7 +26,10 @@
   return newest;
 };
 
-/** Stops the remaining members of gangs whose attempt can no longer be complete. */
+/**
+ * Stops the remaining members of gangs whose attempt can no longer be complete. Nothing but the attempts themselves tells that a
+ * gang is broken, so that it may start again as soon as the last one has ended, in whatever way.
+ */
 export class GangSupervisor {
   /** Gangs whose members are being stopped in this step: a member that was never sent ends while the others are visited. */
   private readonly breaking = new Set<ActiveJob>();
@@ -37,14 +40,15 @@
     private readonly stop: (attempt: TaskAttempt, graceUs: Micros) => void,
   ) {}
 
-  /** Stops the remaining members of a gang immediately after one was lost. */
-  breakGang(job: ActiveJob): void {
+  /** Stops the members that are not being stopped yet, after one was lost or because one can't go on. */
+  breakGang(job: ActiveJob, graceUs: Micros): void {
     if (job.phase !== 'active' || job.isComplete || this.breaking.has(job)) return;
-    if (!job.gangBroken) this.term.context.info('gang.broken', { job: job.id, left: job.liveAttempts.size });
-    job.gangBroken = true;
+    const members = unstoppedMembers(job);
+    if (members.length === 0) return;
+    this.term.context.info('gang.broken', { job: job.id, left: job.liveAttempts.size });
     this.breaking.add(job);
     try {
-      for (const member of unstoppedMembers(job)) this.stop(member, 0);
+      for (const member of members) this.stop(member, graceUs);
     } finally {
       this.breaking.delete(job);
     }
@@ -53,15 +57,9 @@
   /** Breaks gangs that are incomplete although every machine that may hold a member has been reconciled. */
   breakIncompleteGangs(): void {
     for (const job of this.term.cluster.jobs.values()) {
-      if (
-        job.spec.shape !== 'gang' ||
-        job.phase !== 'active' ||
-        job.gangBroken ||
-        job.liveAttempts.size === 0
-      )
-        continue;
+      if (job.spec.shape !== 'gang' || job.phase !== 'active' || job.liveAttempts.size === 0) continue;
       if (job.isComplete || isWholeGang(job)) continue;
-      if (!this.mayHaveUnreportedMembers(job)) this.breakGang(job);
+      if (!this.mayHaveUnreportedMembers(job)) this.breakGang(job, 0);
     }
   }
 
--- a/packages/core/src/tasks/termination-drain.ts
+++ b/packages/core/src/tasks/termination-drain.ts
@@ -3,7 +3,6 @@
 import { type Micros, SECOND } from '../domain/time.js';
 import type { LeaderTerm } from '../leadership/leader-term.js';
 import type { AttemptLifecycle } from './attempt-lifecycle.js';
-import { unstoppedMembers } from './gang-attempts.js';
 
 /** A task expected to end within this fraction of the time left is not stopped; the margin covers estimates that are too low. */
 const MAX_REMAINING_FRACTION_TO_FINISH = 0.6;
@@ -13,7 +12,7 @@
 /** Stops the tasks that won't end before the machine is terminated, with time to save a checkpoint. */
 export const drainBeforeTermination = (
   term: LeaderTerm,
-  attempts: Pick<AttemptLifecycle, 'stop'>,
+  attempts: Pick<AttemptLifecycle, 'stop' | 'breakGang'>,
   machine: Machine,
   terminationAt: Micros,
 ): void => {
@@ -26,11 +25,8 @@
       0,
       Math.min(checkpointDurationUs + CHECKPOINT_MARGIN, timeLeft - CHECKPOINT_MARGIN),
     );
-    if (job.spec.shape === 'gang') {
-      for (const member of unstoppedMembers(job))
-        attempts.stop(member, Math.max(graceUs, checkpointDurationUs));
-      job.gangBroken = true;
-    } else attempts.stop(attempt, graceUs);
+    if (job.spec.shape === 'gang') attempts.breakGang(job, Math.max(graceUs, checkpointDurationUs));
+    else attempts.stop(attempt, graceUs);
   }
 };
 
