End a lease of the loopback worker on time while its machine hangs

Cause: the emulated worker looked at its lease only between two of its steps, and took none while it hung, so that its tasks counted as present until the hang was over. The protocol: the worker kills and forgets all tasks when its lease ends, and a hanging machine may resume at any time within it. A command held up by the hang could also be carried out in the former session.

Change: the lease ends on time, and before a command is looked at. The soak's checks are unchanged.

--- a/packages/emulator/src/loopback-workers.ts
+++ b/packages/emulator/src/loopback-workers.ts
@@ -128,6 +128,8 @@
 
   private answerCommand({ url, body }: HttpRequest): WireResponse {
     if (url === '/inspect') return { status: 200, body: encodeHeartbeat(this.heartbeat()) };
+    // A command that was held up by a hang may arrive before the next step.
+    this.expireLease(this.world.now());
     const { token, session, commands } = decodeCommands(body);
     if (token < this.token || session !== this.session)
       return { status: 409, body: encodeHeartbeat(this.heartbeat()) };
@@ -210,19 +212,23 @@
 
   private step(): void {
     const now = this.world.now();
+    this.expireLease(now);
     if (now < this.hangingUntil) return;
-    if (now > this.leaseRenewedAt + this.world.leaseUs) {
-      this.world.leaseEnded?.(this.name);
-      for (const task of this.tasks) this.recordEnd(task, false);
-      this.tasks = [];
-      this.session++;
-      this.sequence = 0;
-      this.leaseRenewedAt = now;
-    }
     for (const task of this.tasks) this.advance(task, now);
     if (!this.isSendingHeartbeat && now >= this.nextHeartbeatAt) void this.sendHeartbeat();
   }
 
+  /** Ends all tasks if the lease is over. It runs on while the machine hangs, which may resume only within it. */
+  private expireLease(now: Micros): void {
+    if (now <= this.leaseRenewedAt + this.world.leaseUs) return;
+    this.world.leaseEnded?.(this.name);
+    for (const task of this.tasks) this.recordEnd(task, false);
+    this.tasks = [];
+    this.session++;
+    this.sequence = 0;
+    this.leaseRenewedAt = now;
+  }
+
   private advance(task: LoopbackTask, now: Micros): void {
     if (task.state === 'exited' || now < task.stateEndsAt) return;
     const spec = this.world.spec(task.job);
