Remember what the cloud had when it refused machines for a gang

Operators would have paid for all machines of the cloud, again and again, for a gang that it can't hold: provisioned, scaled in as idle, provisioned again.

Cause: capacity is not published, and after a refusal a gang counted on 50 further machines of the kind at once.

Change: a refusal is remembered for each kind of capacity. What arrays may ask for is as before, and so is what a gang may ask for that fits on what there is.

--- a/packages/core/src/machines/autoscaler.ts
+++ b/packages/core/src/machines/autoscaler.ts
@@ -39,7 +39,7 @@
     private readonly host: AutoscalerHost,
   ) {
     this.forecast = new DemandForecast(context, () => host.isCostSensitive());
-    this.offers = new CapacityOffers(context);
+    this.offers = new CapacityOffers(context, () => host.machines());
     this.scaleOut = new ScaleOut(context, host, this.offers);
     this.deletions = new DeletionQueue(context, host, this.offers);
     this.inventory = new CloudInventory(context, host, (name) => {
--- a/packages/core/src/machines/scale-out.ts
+++ b/packages/core/src/machines/scale-out.ts
@@ -83,17 +83,18 @@
   ): void {
     offer.inFlight = false;
     offer.refusals = 0;
-    // The cloud has no more capacity of this kind for now.
-    if (machines.length < count) this.offers.recordRefusal(offer);
     for (const machine of machines)
       this.host.recordProvisioned(machine, capacity.type.name, capacity.zone, capacity.spot, requestedAt);
+    // With fewer machines than requested, the cloud has no more capacity of this kind for now.
+    if (machines.length < count) this.offers.recordRefusal(capacity);
+    else this.offers.recordGrant(capacity);
     this.context.info('autoscaler.machines_provisioned', { request: name, machines });
     this.host.schedulePass();
   }
 
   private handleNoCapacity({ name, capacity, offer }: ProvisioningRequest): void {
     offer.inFlight = false;
-    this.offers.recordRefusal(offer);
+    this.offers.recordRefusal(capacity);
     this.context.info('autoscaler.capacity_refused', {
       request: name,
       type: capacity.type.name,
--- a/packages/core/src/scheduling/placement-options.ts
+++ b/packages/core/src/scheduling/placement-options.ts
@@ -82,7 +82,7 @@
 
   /** Number of machines that may still be provisioned from the offer for the group. */
   remainingMachines({ spec }: TaskGroup, offer: CapacityOffer): number {
-    const limit = spec.shape === 'gang' ? (offer.gangLimit ?? offer.limit) : offer.limit;
+    const limit = spec.shape === 'gang' ? Math.max(offer.limit, offer.gangLimit ?? 0) : offer.limit;
     return limit - (this.snapshot.provisioned.get(offer) ?? 0);
   }
 
--- a/packages/core/src/scheduling/total-capacity.ts
+++ b/packages/core/src/scheduling/total-capacity.ts
@@ -32,9 +32,17 @@
 /** Machines of one kind with equal capacity for work that ends. */
 interface MachineClass extends MachineKind {
   readonly capacity: Readonly<Amounts>;
-  machines: number;
+  counts: MachineCounts;
 }
 
+/** Numbers of machines: those that a gang may count on, and those for other work. */
+interface MachineCounts {
+  readonly forGangs: number;
+  readonly forOthers: number;
+}
+
+const ONE_MACHINE: MachineCounts = { forGangs: 1, forOthers: 1 };
+
 /** The capacity of the slot's machine without that of running services, which never end. */
 const capacityWithoutServices = ({ type, changes }: MachineSlot): Readonly<Amounts> => {
   if ((changes.at(-1)?.at ?? 0) < UNBOUNDED_RUN_TIME) return type;
@@ -52,33 +60,37 @@
 
   /** Adds a machine of the snapshot. */
   addSlot(slot: MachineSlot): void {
-    this.add(slot, 1, capacityWithoutServices(slot));
+    this.add(slot, ONE_MACHINE, capacityWithoutServices(slot));
   }
 
   /** Adds an empty machine. */
   addMachine({ type, zone, spot }: MachineKind): void {
-    this.add({ type, zone, spot }, 1, type);
+    this.add({ type, zone, spot }, ONE_MACHINE, type);
   }
 
-  /** Adds all machines that a gang may count on from the offer. */
-  addOffer({ type, zone, spot, limit, gangLimit }: MachineKind & OfferLimits): void {
-    this.add({ type, zone, spot }, gangLimit ?? limit, type);
+  /** Adds all machines that may be provisioned from the offer. */
+  addOffer({ type, zone, spot, limit, gangLimit = limit }: MachineKind & OfferLimits): void {
+    this.add({ type, zone, spot }, { forGangs: gangLimit, forOthers: Math.max(limit, gangLimit) }, type);
   }
 
   /** A copy with further offers. */
   withOffers(offers: readonly (MachineKind & OfferLimits)[]): TotalCapacity {
     const total = new TotalCapacity();
     for (const machineClass of this.classes.values())
-      total.add(machineClass, machineClass.machines, machineClass.capacity);
+      total.add(machineClass, machineClass.counts, machineClass.capacity);
     for (const offer of offers) total.addOffer(offer);
     return total;
   }
 
-  private add({ type, zone, spot }: MachineKind, machines: number, capacity: Readonly<Amounts>): void {
+  private add({ type, zone, spot }: MachineKind, counts: MachineCounts, capacity: Readonly<Amounts>): void {
     const key = `${type.name}|${zone}|${spot}|${capacity.cores}|${capacity.gpus}|${capacity.memoryGb}`;
     const machineClass = this.classes.get(key);
-    if (machineClass === undefined) this.classes.set(key, { type, zone, spot, capacity, machines });
-    else machineClass.machines += machines;
+    if (machineClass === undefined) this.classes.set(key, { type, zone, spot, capacity, counts });
+    else
+      machineClass.counts = {
+        forGangs: machineClass.counts.forGangs + counts.forGangs,
+        forOthers: machineClass.counts.forOthers + counts.forOthers,
+      };
     this.tasksByZone.clear();
   }
 
@@ -96,7 +108,7 @@
   }
 
   private tasksFittingByZone(spec: JobSpec): ReadonlyMap<string, number> {
-    const kind = taskKind(spec);
+    const kind = `${spec.shape === 'gang'}|${taskKind(spec)}`;
     let byZone = this.tasksByZone.get(kind);
     if (byZone === undefined) {
       byZone = this.countByZone(spec);
@@ -107,8 +119,9 @@
 
   private countByZone(spec: JobSpec): Map<string, number> {
     const byZone = new Map<string, number>();
-    for (const { type, zone, spot, capacity, machines } of this.classes.values()) {
+    for (const { type, zone, spot, capacity, counts } of this.classes.values()) {
       if (!isMachineTypeAllowed(spec, type) || !isPlacementAllowed(spec, type.name, zone, spot)) continue;
+      const machines = spec.shape === 'gang' ? counts.forGangs : counts.forOthers;
       byZone.set(zone, (byZone.get(zone) ?? 0) + machines * countFits(spec, capacity));
     }
     return byZone;
--- a/packages/core/test/gang-placement.test.ts
+++ b/packages/core/test/gang-placement.test.ts
@@ -267,3 +267,16 @@
     assert.equal(decision.snapshot.provisioned.get(offer), tasks);
   }
 });
+
+test('an offer that the cloud refuses counts for no gang, but stays open for arrays', () => {
+  // Guards against an array that gets no machine because of what is known about the capacity for gangs.
+  const type = typeOf('node', { cores: 32, bootUs: 40 * SECOND });
+  const offer: CapacityOffer = { type, zone: 'a', spot: false, limit: 50, gangLimit: 0 };
+  const provisionedFor = (shape: JobSpec['shape']): number => {
+    const group = groupOf(makeJobSpec('run-1', { shape, tasks: 2, cores: 30 }));
+    const decision = search(snapshotOf([], { node: 8 }, [offer]), [group], SEARCH_LIMITS, stoppedClock);
+    return decision.snapshot.provisioned.get(offer) ?? 0;
+  };
+  assert.equal(provisionedFor('gang'), 0);
+  assert.ok(provisionedFor('array') > 0);
+});
--- a/packages/core/test/oversized-gangs.test.ts
+++ b/packages/core/test/oversized-gangs.test.ts
@@ -6,6 +6,7 @@
 import { SECOND } from '@shaleyoke/core/domain/time';
 import { ClusterSimulation } from '@shaleyoke/emulator/cluster-simulation';
 import { Random } from '@shaleyoke/emulator/random';
+import { MACHINE_TYPE } from '@shaleyoke/emulator/site';
 import { makeJobSpec } from '@shaleyoke/emulator/specs';
 
 import { unfinishedJobs, violationsOf } from './scenario-fixtures.js';
@@ -80,3 +81,33 @@
   assert.deepEqual(unfinishedJobs(simulation, ['run-1']), []);
   assert.deepEqual(reported, ['run-2'], 'only the gang that never fits is reported');
 });
+
+test('machines are not rented again and again for a gang that the cloud can not hold', () => {
+  // Guards against machines rented in vain: what the cloud holds is known only once it refuses, and must not be forgotten at once.
+  const simulation = emptyCluster(9);
+  simulation.runFor(4 * SECOND);
+  const tasks = 2 * MACHINE_TYPE.cores * MACHINE_TYPE.zones.length * MACHINES_PER_ZONE;
+  simulation.submit(makeJobSpec('run-1', { shape: 'gang', tasks, cores: 1 }));
+  simulation.runFor(900 * SECOND);
+  const rented = [...simulation.cloud.bills.values()];
+  const machineSeconds = rented.reduce(
+    (sum, { from, to }) => sum + ((to ?? simulation.now) - from) / SECOND,
+    0,
+  );
+  const wholeCloud = MACHINE_TYPE.zones.length * MACHINES_PER_ZONE * 900;
+  assert.ok(
+    machineSeconds < wholeCloud / 4,
+    `${Math.round(machineSeconds)} machine-seconds of ${wholeCloud}`,
+  );
+  simulation.submit(makeJobSpec('run-2', { tasks: 40, estimatedRunUs: 5 * SECOND }));
+  simulation.runFor(90 * SECOND);
+  simulation.poll('run-2');
+  simulation.runFor(SECOND);
+  assert.equal(simulation.stageOf('run-2'), 'done', 'an array gets machines all the same');
+  // The cloud has room for it now.
+  simulation.cloud.machinesPerZone = 3 * MACHINES_PER_ZONE;
+  simulation.runFor(1_000 * SECOND);
+  simulation.poll('run-1');
+  simulation.runFor(SECOND);
+  assert.equal(simulation.stageOf('run-1'), 'done', 'it runs once the cloud has room');
+});
