--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,64 +1,36 @@
-// A gang that waits for a busy machine holds a free one in every plan, so that an array waits beside the idle machine.
+// An array that is bound to one zone, of which at most half may be there at a time, never starts any task.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import { incassohuis, job, runCase, sleep, trouble, WaitWatch } from '../../target/review-3/deployment.mjs';
+import { adresy, job, runCase, sleep, trouble, WaitWatch } from '../../target/review-3/deployment.mjs';
 
-const gang = (ref) =>
-  job(ref, {
-    bundle: 'betaling-koppelen',
-    owner: 'platformploeg',
-    shape: 'group',
-    parts: 4,
-    cores: 15,
-    memory_gb: 26,
-    build: 'koppelen-01',
-    image_gb: 1.8,
-    same_place: true,
-    expect_s: 250,
-    snapshot_s: 30,
-    flush_s: 5,
-  });
+const teams = [{ name: 'zespol-adresowy', cpus: 0, cpus_max: 96, gpus: 0, gpus_max: 0 }];
 
-const scoringJob = (ref, parts) =>
-  job(ref, {
-    bundle: 'risico-scoren',
-    owner: 'platformploeg',
-    urgency: 'best_effort',
-    parts,
-    cores: 6,
-    gpus: 1,
-    memory_gb: 48,
-    models: ['scorebak'],
-    build: 'scoren-01',
+const play = async (deployment) => {
+  const array = job('run-000001', {
+    bundle: 'przypisanie-budynkow',
+    owner: 'zespol-adresowy',
+    parts: 4,
+    cores: 2,
+    memory_gb: 3.6,
+    build: 'przypisanie-01',
     image_gb: 1,
     loaners: true,
-    expect_s: 8,
-    snapshot_s: 15,
-    flush_s: 4,
-    due_s: 35,
+    expect_s: 10,
+    scatter: true,
+    hall: trouble ? 'strefa-gdansk' : null,
   });
-
-const play = async (deployment) => {
-  // While an array is on the machine with GPUs, a gang takes both machines without GPUs.
-  await deployment.submit(scoringJob('run-000040', 4));
-  await sleep(4_000);
-  await deployment.submit(gang('run-000001'));
-  while (deployment.doneCount('run-000040') < 4) await sleep(200);
-  // A second gang comes when they come more often; at the usual rate it doesn't.
-  if (trouble) await deployment.submit(gang('run-000002'));
-  await sleep(2_000);
-  const scoring = scoringJob('run-000050', 3);
-  await deployment.submit(scoring);
-  const watch = new WaitWatch(deployment, scoring);
+  await deployment.submit(array);
+  await sleep(1_000);
+  const watch = new WaitWatch(deployment, array, 96);
   const until = deployment.now() + 93_000;
   while (deployment.now() < until) {
-    await deployment.poll(scoring.ref);
+    await deployment.poll(array.ref);
     watch.look(true);
-    if (watch.broken().length > 0 || deployment.doneCount(scoring.ref) === scoring.parts) break;
+    if (watch.broken().length > 0 || deployment.doneCount(array.ref) === array.parts) break;
     await sleep(1_500);
   }
   return watch.broken();
 };
 
-await runCase(dirname(fileURLToPath(import.meta.url)), incassohuis(2, 1), play);
+await runCase(dirname(fileURLToPath(import.meta.url)), adresy(teams, 2), play);
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,56 +1,64 @@
-// The room that is kept for services that may come starves an array for as long as no more than that is left.
+// A gang that waits for a busy machine holds a free one in every plan, so that an array waits beside the idle machine.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import { adresy, job, runCase, sleep, trouble, WaitWatch } from '../../target/review-3/deployment.mjs';
+import { incassohuis, job, runCase, sleep, trouble, WaitWatch } from '../../target/review-3/deployment.mjs';
 
-const teams = [{ name: 'zespol-adresowy', cpus: 0, cpus_max: 128, gpus: 0, gpus_max: 0 }];
-
-const service = (ref, parts) =>
+const gang = (ref) =>
   job(ref, {
-    bundle: 'geokoder-adresow',
-    owner: 'zespol-adresowy',
-    shape: 'service',
-    urgency: 'critical',
-    parts,
-    cores: 2,
-    memory_gb: 3.4,
-    build: 'geokoder-01',
-    image_gb: 0.7,
-    scatter: true,
-    expect_s: 0,
+    bundle: 'betaling-koppelen',
+    owner: 'platformploeg',
+    shape: 'group',
+    parts: 4,
+    cores: 15,
+    memory_gb: 26,
+    build: 'koppelen-01',
+    image_gb: 1.8,
+    same_place: true,
+    expect_s: 250,
+    snapshot_s: 30,
+    flush_s: 5,
   });
 
-const play = async (deployment) => {
-  // One service at the usual rate, four when they come more often; 8 of 48 places are left then.
-  const sizes = trouble ? [16, 16, 4, 4] : [16];
-  for (const [i, parts] of sizes.entries()) {
-    await deployment.submit(service(`run-00000${i + 1}`, parts));
-    await sleep(500);
-  }
-  await sleep(6_000);
-  const array = job('run-000050', {
-    bundle: 'przypisanie-budynkow',
-    owner: 'zespol-adresowy',
-    parts: 4,
-    cores: 2,
-    memory_gb: 3.6,
-    build: 'przypisanie-01',
+const scoringJob = (ref, parts) =>
+  job(ref, {
+    bundle: 'risico-scoren',
+    owner: 'platformploeg',
+    urgency: 'best_effort',
+    parts,
+    cores: 6,
+    gpus: 1,
+    memory_gb: 48,
+    models: ['scorebak'],
+    build: 'scoren-01',
     image_gb: 1,
     loaners: true,
-    expect_s: 10,
-    due_s: 30,
+    expect_s: 8,
+    snapshot_s: 15,
+    flush_s: 4,
+    due_s: 35,
   });
-  await deployment.submit(array);
-  const watch = new WaitWatch(deployment, array, 128);
+
+const play = async (deployment) => {
+  // While an array is on the machine with GPUs, a gang takes both machines without GPUs.
+  await deployment.submit(scoringJob('run-000040', 4));
+  await sleep(4_000);
+  await deployment.submit(gang('run-000001'));
+  while (deployment.doneCount('run-000040') < 4) await sleep(200);
+  // A second gang comes when they come more often; at the usual rate it doesn't.
+  if (trouble) await deployment.submit(gang('run-000002'));
+  await sleep(2_000);
+  const scoring = scoringJob('run-000050', 3);
+  await deployment.submit(scoring);
+  const watch = new WaitWatch(deployment, scoring);
   const until = deployment.now() + 93_000;
   while (deployment.now() < until) {
-    await deployment.poll(array.ref);
+    await deployment.poll(scoring.ref);
     watch.look(true);
-    if (watch.broken().length > 0 || deployment.doneCount(array.ref) === array.parts) break;
+    if (watch.broken().length > 0 || deployment.doneCount(scoring.ref) === scoring.parts) break;
     await sleep(1_500);
   }
   return watch.broken();
 };
 
-await runCase(dirname(fileURLToPath(import.meta.url)), adresy(teams, 2), play);
+await runCase(dirname(fileURLToPath(import.meta.url)), incassohuis(2, 1), play);
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -106,13 +106,14 @@
 
   async start() {
     const { members = 3, machines = [] } = this.options;
-    const ports = await freePorts(2 * members);
+    const ports = await freePorts(3 * members);
     const cloud = await serve((request) => this.cloud(request));
     this.servers.push(cloud);
     this.nodes = Array.from({ length: members }, (_, i) => ({
       member: `dock-${i}`,
       address: `127.0.0.1:${ports[2 * i]}`,
       peer: `127.0.0.1:${ports[2 * i + 1]}`,
+      kube: `127.0.0.1:${ports[2 * members + i]}`,
       refusedUntil: 0,
       child: null,
       log: [],
@@ -166,6 +167,12 @@
 
   launch(node) {
     const [program, ...args] = this.command;
+    // The deploy file has this listener off; `--config` stays the last option, the path of the settings the last argument.
+    if (this.options.kube) {
+      const file = join(this.settingsFolder, `${node.member}-kube.yaml`);
+      writeFileSync(file, `version: 1\nlisten: ${node.kube}\nsockets: 200\ntenants: {}\n`);
+      args.splice(-1, 0, '--kube', file);
+    }
     const child = spawn(program === 'node' ? process.execPath : program, [...args, node.config], {
       stdio: ['ignore', 'ignore', 'pipe'],
       env: { ...process.env, LOG_LEVEL: 'info' },
@@ -178,6 +185,9 @@
       node.child = null;
       this.exits.push({ member: node.member, code, signal });
       this.record('controller', { member: node.member, event: 'ended by itself', code, signal });
+      setTimeout(() => {
+        if (!this.stopped) this.launch(node);
+      }, this.options.restart_s * 1_000);
     });
   }
 
--- a/review/lib-3/sites.mjs
+++ b/review/lib-3/sites.mjs
@@ -29,6 +29,7 @@
     workers: { report_s: 5, lease_s: 29, gang_wait_s: 35, gang_peer_s: 6, cancel_s: 49 },
     state: { rps: 250, write_rps: 100, value_kb: 16, txn_ops: 12 },
     cloud: { rps: 3, list_lag_s: 10 },
+    restart_s: 8,
   };
 };
 
@@ -80,5 +81,6 @@
     workers: { report_s: 3, lease_s: 27, gang_wait_s: 35, gang_peer_s: 5, cancel_s: 47 },
     state: { rps: 120, write_rps: 25, value_kb: 16, txn_ops: 20 },
     cloud: { rps: 1.5, list_lag_s: 12 },
+    restart_s: 8,
   };
 };
