--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -21,6 +21,8 @@
 const POLL_TIMEOUT_MS = 2_000;
 const REQUEST_TIMEOUT_MS = 5_000;
 const RETRY_FOR_MS = 60_000;
+/** A run takes 120 seconds at most. */
+const MAX_RUN_MS = 118_000;
 
 const decimal = (value) => (Number.isInteger(value) ? `${value}.0` : String(value));
 const table = (name, fields) =>
@@ -383,7 +385,10 @@
   let verdict;
   try {
     await deployment.start();
-    const broken = await play(deployment);
+    const over = sleep(MAX_RUN_MS - deployment.now()).then(() => {
+      throw new Error('the time of a run is over');
+    });
+    const broken = await Promise.race([play(deployment), over]);
     if (deployment.exits.length > 0) broken.push(`controllers ended: ${JSON.stringify(deployment.exits)}`);
     code = broken.length > 0 ? 1 : 0;
     verdict = broken.length > 0 ? `broken: ${broken.join('; ')}` : 'held';
